--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,370 @@
+// Every decision of a node: which backend an invocation is handed to, how often, and what its client is told.
+//
+// How to call it: make one Decider per node from its Settings, then give decide() each event in the order of
+// its arrival with the time it came in, and carry out the actions it returns before the next call. The
+// interface is src/decide.h; docs/design.md tells what is kept of the source's design and where it is left.
+//
+// Each of the four rules is kept at one place that every send and every answer passes:
+//   1 one answer in time   answer()          3 drains kept       may_go_to()
+//   2 no double effect     may_repeat_at()   4 gentle to cold    within_cold_budget()
+#include "decide.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+
+namespace troutstage {
+namespace {
+
+// Sums over the last N spans of time, in buckets that are used again.
+template <int N>
+class Ring {
+ public:
+  void set_span(Tenths span) { span_ = std::max<Tenths>(1, span); }
+  void add(Tenths now, double amount) {
+    turn(now);
+    sums_[newest_ % N] += amount;
+    total_ += amount;
+  }
+  double total(Tenths now) {
+    turn(now);
+    return std::max(0.0, total_);
+  }
+  void clear() {
+    sums_.fill(0);
+    total_ = 0;
+  }
+
+ private:
+  void turn(Tenths now) {
+    const std::int64_t bucket = now / span_;
+    if (bucket - newest_ >= N) clear();
+    for (std::int64_t b = std::max(newest_ + 1, bucket - N + 1); b <= bucket; ++b) {
+      total_ -= sums_[b % N];
+      sums_[b % N] = 0;
+    }
+    newest_ = std::max(newest_, bucket);
+  }
+  Tenths span_ = 1;
+  std::int64_t newest_ = 0;
+  double total_ = 0;
+  std::array<double, N> sums_{};
+};
+
+constexpr Tenths kSecond = 10000;
+
+struct Backend {
+  bool known = false;
+  bool told_to_stop = true;  // draining, gone or not listed (yet)
+  Index kind = kNone, zone = kNone;
+  std::int64_t cell = -1;
+  double weight = 1;
+  Tenths started_at = 0;
+  int out = 0;         // this node's own hand-offs in flight
+  Ring<16> done;       // work this node got done here
+  Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
+};
+
+enum class Ran { in_flight, maybe, never };
+
+struct HandOff {
+  Index backend = kNone;
+  Tenths sent = 0;
+  double work = 0;
+  int out_before = 0;
+  Ran ran = Ran::in_flight;
+};
+
+struct Invocation {
+  bool kept = false;  // the index is in use
+  bool held = false;  // an answer is still owed
+  bool streaming = false;
+  Index workload = 0;
+  Tenths arrived = 0, valid_until = 0;
+  double work = 0;
+  int out = 0;
+  std::uint32_t life = 0;  // tells this use of the index from earlier ones
+  std::vector<HandOff> hand_offs;
+};
+
+}  // namespace
+
+class Decider::Impl {
+ public:
+  Impl(const Settings& s, Tenths now)
+      : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
+        may_recall_(s.may_recall), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
+        // Half a bucket more than the window is counted, and some room is left for chance.
+        fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
+        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
+    for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
+    if (ask_gap_ > 0) ask(now);
+  }
+
+  const std::vector<Action>& decide(Tenths now, const Event& event) {
+    now_ = now;
+    actions_.swap(early_);
+    early_.clear();
+    std::visit([this](const auto& e) { on(e); }, event);
+    run_due();
+    arm();
+    return actions_;
+  }
+
+ private:
+  static constexpr double kColdRoom = 0.6;
+
+  // ---- events
+
+  void on(const FleetList& list) {
+    if (list.form == ListForm::failed) return retry_ask();
+    if (list.form != ListForm::delta)
+      for (Backend& b : backends_) b.told_to_stop = true;
+    for (const ListEntry& e : list.entries) {
+      if (e.backend >= backends_.size()) backends_.resize(e.backend + 1);
+      Backend& b = backends_[e.backend];
+      if (!b.known || b.started_at != e.started_at) {
+        b.done.set_span(fall_bucket_ * 4);
+        b.cold_sent.set_span(fall_bucket_);
+        b.done.clear();
+      }
+      b.known = true;
+      b.told_to_stop = e.availability != Availability::running;
+      b.kind = e.kind;
+      b.zone = e.zone;
+      b.cell = e.cell;
+      b.weight = e.weight;
+      b.started_at = e.started_at;
+    }
+  }
+
+  void on(const Arrival& a) {
+    if (a.invocation >= invocations_.size()) invocations_.resize(a.invocation + 1);
+    Invocation& v = invocations_[a.invocation];
+    const std::uint32_t life = v.life + 1;
+    v = Invocation{};
+    v.life = life;
+    v.kept = v.held = true;
+    v.workload = a.workload;
+    v.arrived = now_;
+    v.valid_until = a.valid_until;
+    v.work = a.hint > 0 ? a.hint : usual_[a.workload];
+    at(v.valid_until - margin_, a.invocation);
+    if (!hand_off(a.invocation)) answer(a.invocation, Answer::no);
+  }
+
+  void on(const HandOffEnded& e) {
+    if (!known_hand_off(e.invocation, e.number)) return;
+    Invocation& v = invocations_[e.invocation];
+    HandOff& h = v.hand_offs[e.number];
+    Backend& b = backends_[h.backend];
+    if (h.ran != Ran::in_flight) return;
+    --b.out;
+    --v.out;
+    const bool never = e.ending == Ending::turned_away || e.ending == Ending::unreachable ||
+                       e.ending == Ending::never_sent;
+    h.ran = never ? Ran::never : Ran::maybe;
+    if (e.ending == Ending::succeeded) {
+      b.done.add(now_, h.work);
+      usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
+    }
+    if (e.final || e.ending == Ending::succeeded) v.held = false;
+    if (v.held && v.out == 0 && !hand_off(e.invocation)) answer(e.invocation, Answer::no);
+    forget_if_done(e.invocation);
+  }
+
+  void on(const AnswerStarted& e) {
+    if (known_hand_off(e.invocation, e.number)) invocations_[e.invocation].streaming = true;
+  }
+
+  void on(const ClientGone& e) {
+    if (e.invocation >= invocations_.size()) return;
+    invocations_[e.invocation].held = false;
+    forget_if_done(e.invocation);
+  }
+
+  void on(const TimerDue&) {}
+  void on(const ProbeEnded&) {}
+
+  // ---- the rules
+
+  enum class Answer { no };
+
+  // Rule 1: the one place where an invocation gets its final answer from this node. A rejection is given only
+  // where rule 2 lets the client try again without harm.
+  void answer(Index i, Answer) {
+    Invocation& v = invocations_[i];
+    if (!v.held || v.streaming) return;
+    v.held = false;
+    const Workload& w = workloads_[v.workload];
+    const bool proven = std::all_of(v.hand_offs.begin(), v.hand_offs.end(),
+                                    [](const HandOff& h) { return h.ran == Ran::never; });
+    const bool harmless = proven || w.semantics == Semantics::redoable ||
+                          (w.semantics == Semantics::labelled && w.group == Group::all);
+    actions_.push_back({harmless ? Do::reject : Do::give_up, i, kNone, 0, 0});
+    for (std::size_t n = 0; n < v.hand_offs.size(); ++n)
+      if (may_recall_ && v.hand_offs[n].ran == Ran::in_flight)
+        actions_.push_back({Do::recall, i, kNone, static_cast<int>(n), 0});
+    forget_if_done(i);
+  }
+
+  // Rule 2: whether this invocation may be handed to this backend, given what became of it so far.
+  bool may_repeat_at(const Invocation& v, const Backend& b) const {
+    const Workload& w = workloads_[v.workload];
+    if (v.out > 0 && !second_copies_) return false;
+    for (const HandOff& h : v.hand_offs) {
+      if (h.ran == Ran::never || w.semantics == Semantics::redoable) continue;
+      if (w.semantics == Semantics::irreversible) return false;
+      const Backend& first = backends_[h.backend];
+      if (w.group == Group::zone && first.zone != b.zone) return false;
+      if (w.group == Group::cell && (first.cell != b.cell || b.cell < 0)) return false;
+      if (now_ + margin_ >= h.sent + w.window) return false;
+    }
+    return true;
+  }
+
+  // Rule 3: nothing goes to a backend that this node was told is draining or gone; the grace is not used.
+  bool may_go_to(const Backend& b) const { return !b.told_to_stop; }
+
+  // Rule 4: all nodes together must not push over a cold backend. Each node sends it at most its own part: what
+  // this node gets done on warm backends of that kind, times what a cold one can do, times the multiple.
+  bool within_cold_budget(Backend& b, double work) {
+    const double part = warmth(b);
+    if (part >= 1) return true;
+    double done = 0, weight = 0;
+    for (Backend& peer : backends_) {
+      if (peer.told_to_stop || peer.kind != b.kind || warmth(peer) < 1) continue;
+      done += peer.done.total(now_) / 4;
+      weight += peer.weight;
+    }
+    if (weight <= 0) return b.out == 0;  // none to compare with: one at a time can't outrun the backend
+    return b.cold_sent.total(now_) + work <= cold_multiple_ * part * done * b.weight / weight;
+  }
+
+  // The part of its work that a backend can do at its age, at the least.
+  double warmth(const Backend& b) const {
+    if (b.started_at <= 0 || warm_within_ <= 0) return 1;
+    const double age = static_cast<double>(std::max<Tenths>(0, now_ - b.started_at)) / warm_within_;
+    return std::min(1.0, cold_from_ + (1 - cold_from_) * age);
+  }
+
+  // ---- the choice
+
+  // Hands an invocation to the better of two fresh random ready backends; false where that can't be done.
+  bool hand_off(Index i) {
+    Invocation& v = invocations_[i];
+    if (!v.held || v.streaming || now_ + margin_ >= v.valid_until) return false;
+    if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
+    ready_.clear();
+    for (Index n = 0; n < backends_.size(); ++n) {
+      Backend& b = backends_[n];
+      if (may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, v.work)) ready_.push_back(n);
+    }
+    if (ready_.empty()) return false;
+    const Index to = better_of_two();
+    Backend& b = backends_[to];
+    v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
+    ++v.out;
+    ++b.out;
+    if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
+    actions_.push_back({Do::hand_off, i, to, 0, v.valid_until});
+    return true;
+  }
+
+  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties.
+  Index better_of_two() {
+    if (ready_.size() == 1) return ready_[0];
+    const std::size_t one = below(ready_.size());
+    std::size_t two = below(ready_.size() - 1);
+    if (two >= one) ++two;
+    const Index a = ready_[one], b = ready_[two];
+    if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
+    return below(2) == 0 ? a : b;
+  }
+
+  // ---- the list
+
+  void ask(Tenths now) {
+    now_ = now;
+    early_.push_back({Do::watch, kNone, kNone, 0, 0});
+  }
+  void retry_ask() {
+    ask_gap_now_ = std::min(ask_gap_ * 8, ask_gap_now_ == 0 ? ask_gap_ : ask_gap_now_ * 2);
+    const Tenths wait = static_cast<Tenths>(static_cast<double>(ask_gap_now_) * (0.5 + uniform()));
+    at(now_ + wait, kNone);
+  }
+
+  // ---- odds and ends
+
+  bool known_hand_off(Index i, int n) const {
+    return i < invocations_.size() && n >= 0 && n < static_cast<int>(invocations_[i].hand_offs.size());
+  }
+  void forget_if_done(Index i) {
+    Invocation& v = invocations_[i];
+    if (!v.kept || v.held || v.out > 0) return;
+    v.kept = false;
+    ++v.life;
+    v.hand_offs.clear();
+    actions_.push_back({Do::forget, i, kNone, 0, 0});
+  }
+
+  double uniform() { return std::generate_canonical<double, 32>(chance_); }
+  std::size_t below(std::size_t n) { return std::min(n - 1, static_cast<std::size_t>(uniform() * n)); }
+
+  struct Due {
+    Tenths at;
+    std::uint64_t order;
+    Index invocation;
+    std::uint32_t life;
+    bool operator>(const Due& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
+  };
+  void at(Tenths when, Index i) {
+    due_.push({when, order_++, i, i == kNone ? 0 : invocations_[i].life});
+  }
+  void run_due() {
+    while (!due_.empty() && due_.top().at <= now_) {
+      const Due d = due_.top();
+      due_.pop();
+      if (d.invocation == kNone) {
+        actions_.push_back({Do::watch, kNone, kNone, 0, 0});
+      } else if (invocations_[d.invocation].life == d.life) {
+        answer(d.invocation, Answer::no);
+      }
+    }
+  }
+  void arm() {
+    if (due_.empty() || (armed_ > now_ && armed_ <= due_.top().at)) return;
+    armed_ = due_.top().at;
+    actions_.push_back({Do::set_timer, kNone, kNone, 0, armed_});
+  }
+
+  std::knuth_b chance_;
+  const int max_hand_offs_;
+  const bool second_copies_, may_recall_;
+  const Tenths margin_;  // no answer is left closer than this to its limit
+  const double cold_from_;
+  const Tenths warm_within_, fall_bucket_;
+  const double cold_multiple_;
+  const Tenths ask_gap_;
+  const std::vector<Workload> workloads_;
+
+  Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
+  std::uint64_t order_ = 0;
+  std::vector<double> usual_;  // by workload: how long a success usually takes
+  std::vector<Backend> backends_;
+  std::vector<Invocation> invocations_;
+  std::vector<Index> ready_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::vector<Action> actions_, early_;
+};
+
+Decider::Decider(const Settings& settings, Tenths now) : impl_(std::make_unique<Impl>(settings, now)) {}
+Decider::~Decider() = default;
+Decider::Decider(Decider&&) noexcept = default;
+Decider& Decider::operator=(Decider&&) noexcept = default;
+const std::vector<Action>& Decider::decide(Tenths now, const Event& event) { return impl_->decide(now, event); }
+
+}  // namespace troutstage
--- /dev/null
+++ b/src/decide.h
@@ -0,0 +1,153 @@
+// What the decision module is told and what it answers: plain types, no wire words, no decisions.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace troutstage {
+
+using Tenths = std::int64_t;  // a point in time or a span, in tenths of a millisecond
+using Index = std::uint32_t;  // a small number given to an id when it first comes in
+inline constexpr Index kNone = UINT32_MAX;
+
+enum class Semantics { redoable, labelled, irreversible };
+enum class Group { all, zone, cell };
+
+struct Workload {
+  Semantics semantics = Semantics::irreversible;
+  Group group = Group::cell;  // labelled: which backends drop a repeat
+  Tenths window = 0;          // labelled: for how long, from the first send that may have run
+  Tenths due_time = 0;
+  Tenths time_limit = 0;
+  double billing_value = 1;
+  double overdue_share = 0;  // part of the billing value paid after the due time
+};
+
+struct Tenant {
+  double share = 1;
+  double quota_per_s = 0;  // summed over all nodes
+};
+
+struct Settings {
+  std::uint64_t seed = 0;
+  Index zone = 0;  // of this node
+  int nodes = 1;
+  int max_hand_offs = 1;
+  bool must_ask = true;  // the list comes only when asked for
+  bool may_recall = false;
+  bool may_probe = false;
+  bool second_copies = false;
+  bool client_heeds_retry_in = false;
+  bool value_by_work = false;
+  double beyond_share_value = 1;
+  Tenths max_retry_in = 0;
+  Tenths tick = 10;
+  Tenths connect_timeout = 0;
+  Tenths drain_grace = 0;
+  Tenths ask_within = 0;
+  Tenths fall_window = 0;
+  Tenths warm_within = 0;
+  double fall_multiple = 1;
+  double cold_from = 1;
+  std::vector<Workload> workloads;
+  std::vector<Tenant> tenants;
+};
+
+enum class Availability { running, stopping, deleted };
+enum class ListForm { delta, full, cached, failed };
+
+struct ListEntry {
+  Index backend = kNone;
+  Index kind = kNone;  // machine kind
+  Index zone = kNone;
+  std::int64_t cell = 0;
+  Tenths started_at = 0;  // 0: a long time back
+  Availability availability = Availability::running;
+  double weight = 1;
+};
+
+enum class Ending {
+  succeeded,
+  error,         // may have run
+  turned_away,   // never ran
+  timed_out,     // may have run
+  unreachable,   // never ran
+  broken,        // may have run
+  recalled,      // may have run
+  never_sent,    // never ran
+};
+
+struct FleetList {
+  ListForm form = ListForm::full;
+  std::vector<ListEntry> entries;
+};
+struct Arrival {
+  Index invocation = kNone;
+  Index workload = 0;
+  Index tenant = kNone;
+  Tenths valid_until = 0;
+  double hint = 0;  // expected work in tenths of a millisecond; 0: not told
+  bool client_repeat = false;
+};
+struct HandOffEnded {
+  Index invocation = kNone;
+  int number = 0;
+  Ending ending = Ending::succeeded;
+  bool final = false;  // the invocation is finished
+  Tenths took = 0;
+  double utilization = -1;   // of the backend, where it reports it
+};
+struct AnswerStarted {
+  Index invocation = kNone;
+  int number = 0;
+};
+struct ClientGone {
+  Index invocation = kNone;
+};
+struct TimerDue {};
+struct ProbeEnded {
+  Index backend = kNone;
+  bool succeeded = false;
+  Tenths took = 0;
+};
+
+using Event =
+    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded>;
+
+enum class Do {
+  hand_off,  // invocation, backend, at: when to drop it
+  reject,    // invocation, at: how long the client should wait, or 0
+  give_up,   // invocation
+  recall,    // invocation, number
+  set_timer, // at
+  watch,     // the list, from here on
+  forget,    // invocation: the index may be used again
+};
+
+struct Action {
+  Do what = Do::set_timer;
+  Index invocation = kNone;
+  Index backend = kNone;
+  int number = 0;
+  Tenths at = 0;
+};
+
+// One node's decisions. Events go in one by one in the order of their arrival; the actions that come back
+// are carried out in the order they stand in, before the next event is given.
+class Decider {
+ public:
+  explicit Decider(const Settings& settings, Tenths now);
+  ~Decider();
+  Decider(Decider&&) noexcept;
+  Decider& operator=(Decider&&) noexcept;
+
+  const std::vector<Action>& decide(Tenths now, const Event& event);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace troutstage
--- /dev/null
+++ b/src/wire/wire.cpp
@@ -0,0 +1,321 @@
+#include "wire/wire.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace troutstage::wire {
+namespace {
+
+constexpr std::int64_t kMicrosInTenth = 100;
+
+template <class Value, std::size_t N>
+Value word(std::string_view text, const std::pair<std::string_view, Value> (&known)[N], const char* what) {
+  for (const auto& [name, value] : known)
+    if (name == text) return value;
+  throw Malformed("unknown " + std::string(what) + " '" + std::string(text) + "'");
+}
+
+constexpr std::pair<std::string_view, Ending> kEndings[] = {
+    {"OK", Ending::succeeded},          {"INTERNAL", Ending::error},
+    {"RESOURCE_EXHAUSTED", Ending::turned_away}, {"DEADLINE_EXCEEDED", Ending::timed_out},
+    {"UNAVAILABLE", Ending::unreachable}, {"ABORTED", Ending::broken},
+    {"CANCELLED", Ending::recalled},    {"TOO_LATE", Ending::never_sent}};
+constexpr std::pair<std::string_view, Availability> kAvailabilities[] = {
+    {"Running", Availability::running},
+    {"Stopping", Availability::stopping},
+    {"Deleted", Availability::deleted}};
+constexpr std::pair<std::string_view, ListForm> kForms[] = {{"delta", ListForm::delta},
+                                                            {"full", ListForm::full},
+                                                            {"cached", ListForm::cached},
+                                                            {"failed", ListForm::failed}};
+constexpr std::pair<std::string_view, Semantics> kSemantics[] = {{"repeatable", Semantics::redoable},
+                                                                 {"by_key", Semantics::labelled},
+                                                                 {"once", Semantics::irreversible}};
+constexpr std::pair<std::string_view, Group> kGroups[] = {
+    {"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}};
+constexpr std::pair<std::string_view, bool> kBools[] = {
+    {"1", true}, {"0", false}, {"true", true}, {"false", false}};
+
+double real_number(std::string_view text, const char* what) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !(value > -1e15 && value < 1e15))
+    throw Malformed(std::string(what) + " is no number: '" + std::string(text) + "'");
+  return value;
+}
+
+Tenths tenths(std::string_view text, const char* what) {
+  return text == "-" ? 0 : whole_number(text, what) / kMicrosInTenth;
+}
+
+void expect_fields(const Fields& fields, std::size_t least, std::size_t most) {
+  if (fields.size() < least || fields.size() > most)
+    throw Malformed(std::string(fields[0]) + " has " + std::to_string(fields.size() - 1) + " fields, not " +
+                    std::to_string(least - 1));
+}
+
+Index named(std::map<std::string, Index, std::less<>>& names, std::string_view name) {
+  auto found = names.find(name);
+  if (found != names.end()) return found->second;
+  return names.emplace(std::string(name), static_cast<Index>(names.size())).first->second;
+}
+
+class Pairs {
+ public:
+  explicit Pairs(const Fields& fields) {
+    for (std::size_t i = 3; i < fields.size(); ++i) {
+      auto equals = fields[i].find('=');
+      if (equals == std::string_view::npos)
+        throw Malformed("setting without '=': '" + std::string(fields[i]) + "'");
+      values_.insert_or_assign(std::string(fields[i].substr(0, equals)), fields[i].substr(equals + 1));
+    }
+  }
+  std::string_view text(const std::string& path) const {
+    auto found = values_.find(path);
+    if (found == values_.end()) throw Malformed("setting " + path + " is missing");
+    return found->second;
+  }
+  std::string_view text_or(const std::string& path, std::string_view fallback) const {
+    auto found = values_.find(path);
+    return found == values_.end() ? fallback : found->second;
+  }
+  double real(const std::string& path) const { return real_number(text(path), path.c_str()); }
+  Tenths span(const std::string& path) const { return tenths(text(path), path.c_str()); }
+  bool flag(const std::string& path) const { return word(text(path), kBools, path.c_str()); }
+  int count(const std::string& path, std::string_view fallback = "") const {
+    std::string_view value = fallback.empty() ? text(path) : text_or(path, fallback);
+    std::int64_t n = whole_number(value, path.c_str());
+    if (n < 0 || n > 1000000) throw Malformed(path + " is out of range");
+    return static_cast<int>(n);
+  }
+
+ private:
+  std::map<std::string, std::string_view> values_;
+};
+
+}  // namespace
+
+Fields split(std::string_view line) {
+  Fields fields;
+  for (std::size_t from = 0;;) {
+    std::size_t tab = line.find('\t', from);
+    fields.push_back(line.substr(from, tab - from));
+    if (tab == std::string_view::npos) return fields;
+    from = tab + 1;
+  }
+}
+
+std::int64_t whole_number(std::string_view text, const char* what) {
+  std::int64_t value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw Malformed(std::string(what) + " is no whole number: '" + std::string(text) + "'");
+  return value;
+}
+
+Settings read_settings(const Fields& fields, Names& names) {
+  Pairs pairs(fields);
+  Settings s;
+  std::uint64_t seed = 0;
+  auto [end, error] = std::from_chars(fields[2].data(), fields[2].data() + fields[2].size(), seed);
+  if (error != std::errc() || end != fields[2].data() + fields[2].size())
+    throw Malformed("prng is no whole number: '" + std::string(fields[2]) + "'");
+  s.seed = seed;
+  s.zone = named(names.zones, pairs.text("zone"));
+  s.nodes = pairs.count("instances");
+  s.max_hand_offs = pairs.count("bounds.max-hand-offs");
+  s.must_ask = pairs.text("discovery") == "on_request";
+  s.may_recall = pairs.flag("bounds.cancel");
+  s.may_probe = pairs.flag("bounds.probes");
+  s.second_copies = pairs.flag("bounds.second-copies");
+  s.client_heeds_retry_in = pairs.flag("bounds.retry-after");
+  s.max_retry_in = pairs.span("bounds.max-retry-after");
+  s.value_by_work = pairs.text_or("billing-value-basis", "request") == "work";
+  s.beyond_share_value = real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
+  s.tick = pairs.span("tick");
+  s.connect_timeout = pairs.span("bounds.connect-timeout");
+  s.drain_grace = pairs.span("rules.drain-grace");
+  s.ask_within = pairs.span("rules.ask-within");
+  s.fall_window = pairs.span("rules.fall");
+  s.warm_within = pairs.span("rules.warm-within");
+  s.fall_multiple = pairs.real("rules.fall-multiple");
+  s.cold_from = pairs.real("rules.cold-from");
+  for (int i = 0, n = pairs.count("workloads.count"); i < n; ++i) {
+    std::string at = "workloads." + std::to_string(i) + ".";
+    Workload w;
+    w.semantics = word(pairs.text(at + "semantics"), kSemantics, "semantics");
+    w.group = word(pairs.text_or(at + "group", "all"), kGroups, "group");
+    w.window = tenths(pairs.text_or(at + "window", "0"), "window");
+    w.due_time = pairs.span(at + "due-time");
+    w.time_limit = pairs.span(at + "time-limit");
+    w.billing_value = pairs.real(at + "billing-value");
+    w.overdue_share = real_number(pairs.text_or(at + "overdue-billing-value", "0"), "overdue-billing-value");
+    names.workloads.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
+    s.workloads.push_back(w);
+  }
+  for (int i = 0, n = pairs.count("tenants.count", "0"); i < n; ++i) {
+    std::string at = "tenants." + std::to_string(i) + ".";
+    names.tenants.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
+    s.tenants.push_back({pairs.real(at + "share"), pairs.real(at + "quota-per-s")});
+  }
+  return s;
+}
+
+Index Ids::backend(std::string_view id, bool may_be_new) {
+  auto [at, added] = backend_index_.try_emplace(std::string(id), static_cast<Index>(backends_.size()));
+  if (added && !may_be_new) {
+    backend_index_.erase(at);
+    throw Malformed("backend '" + std::string(id) + "' was never listed");
+  }
+  if (added) backends_.emplace_back(id);
+  return at->second;
+}
+
+Index Ids::new_invocation(std::string_view handle) {
+  if (handle_index_.count(std::string(handle)) != 0)
+    throw Malformed("handle '" + std::string(handle) + "' is held already");
+  Index i = static_cast<Index>(handles_.size());
+  if (free_.empty()) {
+    handles_.emplace_back(handle);
+  } else {
+    i = free_.back();
+    free_.pop_back();
+    handles_[i] = handle;
+  }
+  handle_index_.emplace(handle, i);
+  return i;
+}
+
+std::optional<Index> Ids::invocation(std::string_view handle) const {
+  auto found = handle_index_.find(std::string(handle));
+  if (found == handle_index_.end()) return std::nullopt;
+  return found->second;
+}
+
+void Ids::forget(Index invocation) {
+  handle_index_.erase(handles_[invocation]);
+  free_.push_back(invocation);
+}
+
+int rows_below(const Fields& fields) {
+  if (fields[0] != "MEMBERSHIP") return 0;
+  expect_fields(fields, 5, 5);
+  if (fields[4] == "-") return 0;
+  std::int64_t n = whole_number(fields[4], "elements");
+  if (n < 0 || n > 10000000) throw Malformed("elements is out of range");
+  return static_cast<int>(n);
+}
+
+static FleetList read_list(const Fields& fields, const std::vector<std::string>& rows, Ids& ids, Names& names) {
+  FleetList list{word(fields[2], kForms, "form"), {}};
+  whole_number(fields[3] == "-" ? "0" : fields[3], "stamp");
+  for (const std::string& row : rows) {
+    Fields f = split(row);
+    if (f[0] != "ROW") throw Malformed("ROW expected, not '" + std::string(f[0]) + "'");
+    expect_fields(f, 8, 8);
+    ListEntry e;
+    e.kind = named(names.kinds, f[1]);
+    e.started_at = tenths(f[3], "started-at");
+    e.availability = word(f[4], kAvailabilities, "availability");
+    e.cell = f[5] == "-" ? -1 : whole_number(f[5], "bay");
+    e.weight = f[6] == "-" ? 1 : real_number(f[6], "share");
+    e.zone = named(names.zones, f[7]);
+    e.backend = ids.backend(f[2], true);
+    list.entries.push_back(e);
+  }
+  return list;
+}
+
+static Arrival read_arrival(const Fields& f, Ids& ids, const Names& names) {
+  expect_fields(f, 9, 9);
+  Arrival a;
+  auto workload = names.workloads.find(f[3]);
+  if (workload == names.workloads.end()) throw Malformed("unknown service '" + std::string(f[3]) + "'");
+  a.workload = workload->second;
+  auto tenant = names.tenants.find(f[4]);
+  if (tenant != names.tenants.end()) a.tenant = tenant->second;
+  a.valid_until = tenths(f[6], "valid-until");
+  std::int64_t bits = f[8] == "-" ? 0 : whole_number(f[8], "state-bits");
+  if (f[7] != "-") {
+    double hint = real_number(f[7], "hint") / kMicrosInTenth;
+    if ((bits & 1) != 0) a.hint = hint;
+  }
+  a.client_repeat = (bits & 2) != 0;
+  a.invocation = ids.new_invocation(f[2]);
+  return a;
+}
+
+static std::optional<Event> read_ended(const Fields& f, const Ids& ids) {
+  expect_fields(f, 8, 9);
+  HandOffEnded e;
+  e.final = word(f[4], kBools, "final");
+  e.ending = word(f[5], kEndings, "result");
+  e.number = static_cast<int>(whole_number(f[6], "n"));
+  e.took = tenths(f[7], "delay-seen");
+  std::string_view report = f.size() > 8 && f[8] != "-" ? f[8] : std::string_view();
+  while (!report.empty()) {
+    std::string_view value = report.substr(0, report.find(','));
+    report.remove_prefix(std::min(report.size(), value.size() + 1));
+    std::size_t colon = value.find(':');
+    if (colon == std::string_view::npos) throw Malformed("report value without ':'");
+    if (value.substr(0, colon) == "utilization") e.utilization = real_number(value.substr(colon + 1), "utilization");
+  }
+  auto held = ids.invocation(f[2]);
+  if (!held) return std::nullopt;
+  e.invocation = *held;
+  return e;
+}
+
+std::optional<Event> read_event(const Fields& f, const std::vector<std::string>& rows, Ids& ids, Names& names) {
+  const std::string_view name = f[0];
+  if (name == "MEMBERSHIP") return read_list(f, rows, ids, names);
+  if (name == "INCOMING") return read_arrival(f, ids, names);
+  if (name == "RETURNED") return read_ended(f, ids);
+  if (name == "TICK_DUE") {
+    expect_fields(f, 3, 3);
+    whole_number(f[2], "ref");
+    return TimerDue{};
+  }
+  if (name == "GONE") {
+    expect_fields(f, 3, 3);
+    auto held = ids.invocation(f[2]);
+    return held ? std::optional<Event>(ClientGone{*held}) : std::nullopt;
+  }
+  if (name == "STREAMING") {
+    expect_fields(f, 6, 6);
+    auto held = ids.invocation(f[2]);
+    int number = static_cast<int>(whole_number(f[3], "n"));
+    return held ? std::optional<Event>(AnswerStarted{*held, number}) : std::nullopt;
+  }
+  if (name == "PONG") {
+    expect_fields(f, 5, 6);
+    return ProbeEnded{ids.backend(f[2], false), f[3] == "OK", tenths(f[4], "delay-seen")};
+  }
+  if (name == "NEIGHBOUR_SAYS") {
+    expect_fields(f, 4, 4);
+    whole_number(f[2], "origin-peer");
+    return std::nullopt;  // nothing is said between nodes
+  }
+  throw Malformed("unknown message '" + std::string(name) + "'");
+}
+
+void write_action(std::string& out, std::string_view node, const Action& action, const Ids& ids) {
+  auto line = [&](const char* name, auto&&... values) {
+    out.append(name).append("\t").append(node);
+    (out.append("\t").append(values), ...);
+    out += '\n';
+  };
+  const std::string time = std::to_string(action.at * kMicrosInTenth);
+  switch (action.what) {
+    case Do::hand_off: return line("PLACE", ids.handle(action.invocation), ids.backend_id(action.backend), time);
+    case Do::reject: return line("BUSY", ids.handle(action.invocation), time);
+    case Do::give_up: return line("END_FAILED", ids.handle(action.invocation));
+    case Do::recall: return line("RECALL", ids.handle(action.invocation), std::to_string(action.number));
+    case Do::set_timer: return line("ARM", time, "0");
+    case Do::watch: return line("TAIL", "1");
+    case Do::forget: return;
+  }
+}
+
+}  // namespace troutstage::wire
