--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,6 +55,9 @@
 };
 
 constexpr Tenths kSecond = 10000;
+constexpr double kFirstLimit = 4, kLeastLimit = 0.1, kMostLimit = 1000;
+constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
+constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
   bool known = false;
@@ -64,6 +67,8 @@
   double weight = 1;
   Tenths started_at = 0;
   int out = 0;         // this node's own hand-offs in flight
+  double limit = kFirstLimit;  // how many of them may be in flight
+  Tenths lowered = 0;          // when the limit was last lowered
   Ring<16> done;       // work this node got done here
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
 };
@@ -82,6 +87,7 @@
   bool kept = false;  // the index is in use
   bool held = false;  // an answer is still owed
   bool streaming = false;
+  bool waiting = false;  // held with nothing out, for a place at a backend
   Index workload = 0;
   Tenths arrived = 0, valid_until = 0;
   double work = 0;
@@ -101,6 +107,7 @@
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
+    started_.set_span(kSecond / 10);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -130,6 +137,7 @@
         b.done.set_span(fall_bucket_ * 4);
         b.cold_sent.set_span(fall_bucket_);
         b.done.clear();
+        b.limit = kFirstLimit;
       }
       b.known = true;
       b.told_to_stop = e.availability != Availability::running;
@@ -139,6 +147,10 @@
       b.weight = e.weight;
       b.started_at = e.started_at;
     }
+    total_limit_ = 0;
+    for (const Backend& b : backends_)
+      if (!b.told_to_stop) total_limit_ += b.limit;
+    serve_waiting();
   }
 
   void on(const Arrival& a) {
@@ -153,7 +165,7 @@
     v.valid_until = a.valid_until;
     v.work = a.hint > 0 ? a.hint : usual_[a.workload];
     at(v.valid_until - margin_, a.invocation);
-    if (!hand_off(a.invocation)) answer(a.invocation, Answer::no);
+    if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
 
   void on(const HandOffEnded& e) {
@@ -167,13 +179,16 @@
     const bool never = e.ending == Ending::turned_away || e.ending == Ending::unreachable ||
                        e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
+    --total_out_;
+    learn_limit(b, h, workloads_[v.workload], e);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
     if (e.final || e.ending == Ending::succeeded) v.held = false;
-    if (v.held && v.out == 0 && !hand_off(e.invocation)) answer(e.invocation, Answer::no);
+    if (v.held && v.out == 0 && !hand_off(e.invocation)) wait_or_answer(e.invocation);
     forget_if_done(e.invocation);
+    serve_waiting();
   }
 
   void on(const AnswerStarted& e) {
@@ -183,6 +198,7 @@
   void on(const ClientGone& e) {
     if (e.invocation >= invocations_.size()) return;
     invocations_[e.invocation].held = false;
+    stop_waiting(e.invocation);
     forget_if_done(e.invocation);
   }
 
@@ -199,18 +215,23 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming) return;
     v.held = false;
-    const Workload& w = workloads_[v.workload];
-    const bool proven = std::all_of(v.hand_offs.begin(), v.hand_offs.end(),
-                                    [](const HandOff& h) { return h.ran == Ran::never; });
-    const bool harmless = proven || w.semantics == Semantics::redoable ||
-                          (w.semantics == Semantics::labelled && w.group == Group::all);
-    actions_.push_back({harmless ? Do::reject : Do::give_up, i, kNone, 0, 0});
+    stop_waiting(i);
+    actions_.push_back({may_reject(v) ? Do::reject : Do::give_up, i, kNone, 0, 0});
     for (std::size_t n = 0; n < v.hand_offs.size(); ++n)
       if (may_recall_ && v.hand_offs[n].ran == Ran::in_flight)
         actions_.push_back({Do::recall, i, kNone, static_cast<int>(n), 0});
     forget_if_done(i);
   }
 
+  // Rule 2: whether the client may be told that trying again is harmless.
+  bool may_reject(const Invocation& v) const {
+    const Workload& w = workloads_[v.workload];
+    return w.semantics == Semantics::redoable ||
+           (w.semantics == Semantics::labelled && w.group == Group::all) ||
+           std::all_of(v.hand_offs.begin(), v.hand_offs.end(),
+                       [](const HandOff& h) { return h.ran == Ran::never; });
+  }
+
   // Rule 2: whether this invocation may be handed to this backend, given what became of it so far.
   bool may_repeat_at(const Invocation& v, const Backend& b) const {
     const Workload& w = workloads_[v.workload];
@@ -258,12 +279,17 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ >= v.valid_until) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
+    if (total_out_ > 0 && total_out_ >= total_limit_) return false;
     ready_.clear();
     for (Index n = 0; n < backends_.size(); ++n) {
       Backend& b = backends_[n];
+      if (b.out >= std::max(1.0, b.limit)) continue;
       if (may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, v.work)) ready_.push_back(n);
     }
     if (ready_.empty()) return false;
+    stop_waiting(i);
+    ++total_out_;
+    started_.add(now_, 1);
     const Index to = better_of_two();
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
@@ -285,6 +311,65 @@
     return below(2) == 0 ? a : b;
   }
 
+  // ---- limits and waiting
+
+  // How many of this node's hand-offs a backend may have in flight is learned from their times alone: the limit
+  // settles where a small share of the answers takes more than half of the due time. It guards against jams,
+  // in which every backend is busy with work whose answer comes too late.
+  void learn_limit(Backend& b, const HandOff& h, const Workload& w, const HandOffEnded& e) {
+    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
+    const bool late = e.ending != Ending::succeeded || e.took * 2 > w.due_time;
+    const double before = b.limit;
+    if (late && h.sent >= b.lowered) {
+      b.limit *= 1 - kStep * (1 - kLateShare);
+      b.lowered = now_;
+    } else if (!late && (h.out_before + 1 > b.limit / 2 || total_out_ + 1 > total_limit_ * 0.7)) {
+      b.limit *= 1 + kStep * kLateShare;
+    }
+    b.limit = std::clamp(b.limit, kLeastLimit, kMostLimit);
+    if (!b.told_to_stop) total_limit_ += b.limit - before;
+  }
+
+  // What an invocation of this workload is worth for each unit of the backends' time.
+  double density(const Invocation& v) const {
+    return workloads_[v.workload].billing_value / usual_[v.workload];
+  }
+
+  // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one that
+  // is worth less for its work, is answered at once.
+  void wait_or_answer(Index i) {
+    Invocation& v = invocations_[i];
+    const Tenths patience = workloads_[v.workload].due_time / 4;
+    const Tenths until = v.arrived + patience;
+    if (until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i, Answer::no);
+    v.waiting = true;
+    waiting_.push_back(i);
+    at(until, i);
+    const double turns = started_.total(now_) * static_cast<double>(patience) / kSecond;
+    if (static_cast<double>(waiting_.size()) <= turns + 1) return;
+    Index worst = i;
+    for (Index n : waiting_)
+      if (density(invocations_[n]) < density(invocations_[worst])) worst = n;
+    answer(worst, Answer::no);
+  }
+
+  void serve_waiting() {
+    while (!waiting_.empty() && total_out_ < total_limit_) {
+      std::size_t best = waiting_.size();
+      for (std::size_t n = 0; n < waiting_.size(); ++n)
+        if (best == waiting_.size() || density(invocations_[waiting_[n]]) > density(invocations_[waiting_[best]]))
+          best = n;
+      const Index i = waiting_[best];
+      if (!hand_off(i)) return;
+    }
+  }
+
+  void stop_waiting(Index i) {
+    if (!invocations_[i].waiting) return;
+    invocations_[i].waiting = false;
+    waiting_.erase(std::find(waiting_.begin(), waiting_.end(), i));
+  }
+
   // ---- the list
 
   void ask(Tenths now) {
@@ -331,7 +416,8 @@
       if (d.invocation == kNone) {
         actions_.push_back({Do::watch, kNone, kNone, 0, 0});
       } else if (invocations_[d.invocation].life == d.life) {
-        answer(d.invocation, Answer::no);
+        const Invocation& v = invocations_[d.invocation];
+        if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation, Answer::no);
       }
     }
   }
@@ -356,7 +442,10 @@
   std::vector<double> usual_;  // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> ready_;
+  std::vector<Index> ready_, waiting_;
+  int total_out_ = 0;
+  double total_limit_ = 0;
+  Ring<10> started_;  // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::vector<Action> actions_, early_;
 };
