A posterior draw decides whether a backend with bad endings gets work

Change: Beta draw over the last 8 s against the fleet's chance; three bad endings in a row void the good ones before them.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -57,6 +57,7 @@
 constexpr Tenths kSecond = 10000;
 constexpr double kFirstLimit = 4, kLeastLimit = 0.1, kMostLimit = 1000;
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
+constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
@@ -69,6 +70,8 @@
   int out = 0;         // this node's own hand-offs in flight
   double limit = kFirstLimit;  // how many of them may be in flight
   Tenths lowered = 0;          // when the limit was last lowered
+  Ring<8> good, bad;   // how hand-offs ended here lately
+  int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
 };
@@ -137,6 +140,10 @@
         b.done.set_span(fall_bucket_ * 4);
         b.cold_sent.set_span(fall_bucket_);
         b.done.clear();
+        b.good.set_span(kSecond);
+        b.bad.set_span(kSecond);
+        b.good.clear();
+        b.bad.clear();
         b.limit = kFirstLimit;
       }
       b.known = true;
@@ -181,6 +188,7 @@
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
     learn_limit(b, h, workloads_[v.workload], e);
+    learn_health(b, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
@@ -280,10 +288,11 @@
     if (!v.held || v.streaming || now_ + margin_ >= v.valid_until) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
     if (total_out_ > 0 && total_out_ >= total_limit_) return false;
+    const double fleet = fleet_success();
     ready_.clear();
     for (Index n = 0; n < backends_.size(); ++n) {
       Backend& b = backends_[n];
-      if (b.out >= std::max(1.0, b.limit)) continue;
+      if (b.out >= std::max(1.0, b.limit) || !trusted(b, fleet)) continue;
       if (may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, v.work)) ready_.push_back(n);
     }
     if (ready_.empty()) return false;
@@ -311,6 +320,36 @@
     return below(2) == 0 ? a : b;
   }
 
+  // ---- health
+
+  void learn_health(Backend& b, Ending ending) {
+    if (ending == Ending::never_sent || ending == Ending::recalled) return;
+    if (ending == Ending::succeeded) {
+      b.bad_run = 0;
+      b.good.add(now_, 1);
+    } else {
+      b.bad.add(now_, 1);
+      if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
+    }
+  }
+
+  // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
+  // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it is
+  // tried now and then.
+  bool trusted(Backend& b, double fleet) {
+    const double bad = b.bad.total(now_);
+    if (bad < 0.5) return true;
+    const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
+    const double y = std::gamma_distribution<double>(bad + 1)(chance_);
+    return x > kTrust * fleet * (x + y);
+  }
+  double fleet_success() {
+    double good = 1, bad = 0;
+    for (Backend& b : backends_)
+      if (!b.told_to_stop) good += b.good.total(now_), bad += b.bad.total(now_);
+    return good / (good + bad);
+  }
+
   // ---- limits and waiting
 
   // How many of this node's hand-offs a backend may have in flight is learned from their times alone: the limit
