First limits shared among all nodes, cold backends limited by their warmth

Change: the first limits add up to the same whatever the number of nodes. A cold backend's limit is scaled by its warmth, so that one that jams takes no more.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,9 +55,10 @@
 };
 
 constexpr Tenths kSecond = 10000;
-constexpr double kFirstLimit = 4, kLeastLimit = 0.1, kMostLimit = 1000;
+constexpr double kFirstTogether = 16, kLeastLimit = 0.1, kMostLimit = 1000;
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
+constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
@@ -68,7 +69,7 @@
   double weight = 1;
   Tenths started_at = 0;
   int out = 0;         // this node's own hand-offs in flight
-  double limit = kFirstLimit;  // how many of them may be in flight
+  double limit = kLeastLimit;  // how many of them may be in flight
   Tenths lowered = 0;          // when the limit was last lowered
   Ring<8> good, bad;   // how hand-offs ended here lately
   int bad_run = 0;     // how many of the last ones in a row ended badly
@@ -105,7 +106,7 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
+        may_recall_(s.may_recall), first_limit_(kFirstTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
@@ -144,7 +145,8 @@
         b.bad.set_span(kSecond);
         b.good.clear();
         b.bad.clear();
-        b.limit = kFirstLimit;
+        b.lowered = 0;
+        b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
       b.told_to_stop = e.availability != Availability::running;
@@ -263,6 +265,7 @@
   bool within_cold_budget(Backend& b, double work) {
     const double part = warmth(b);
     if (part >= 1) return true;
+    if (b.out >= std::max(1.0, b.limit * part)) return false;  // what jams takes no more, whatever it took before
     double done = 0, weight = 0;
     for (Backend& peer : backends_) {
       if (peer.told_to_stop || peer.kind != b.kind || warmth(peer) < 1) continue;
@@ -357,13 +360,13 @@
   // in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Workload& w, const HandOffEnded& e) {
     if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
-    const bool late = e.ending != Ending::succeeded || e.took * 2 > w.due_time;
+    const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time);
     const double before = b.limit;
     if (late && h.sent >= b.lowered) {
       b.limit *= 1 - kStep * (1 - kLateShare);
       b.lowered = now_;
     } else if (!late && (h.out_before + 1 > b.limit / 2 || total_out_ + 1 > total_limit_ * 0.7)) {
-      b.limit *= 1 + kStep * kLateShare;
+      b.limit *= 1 + kStep * kLateShare;  // quickly up to the first late answer
     }
     b.limit = std::clamp(b.limit, kLeastLimit, kMostLimit);
     if (!b.told_to_stop) total_limit_ += b.limit - before;
@@ -469,6 +472,7 @@
   std::knuth_b chance_;
   const int max_hand_offs_;
   const bool second_copies_, may_recall_;
+  const double first_limit_;
   const Tenths margin_;  // no answer is left closer than this to its limit
   const double cold_from_;
   const Tenths warm_within_, fall_bucket_;
