--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,7 +70,6 @@
   Tenths started_at = 0;
   int out = 0;         // this node's own hand-offs in flight
   double limit = kLeastLimit;  // how many of them may be in flight
-  Tenths lowered = 0;          // when the limit was last lowered
   Ring<8> good, bad;   // how hand-offs ended here lately
   int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
@@ -145,7 +144,6 @@
         b.bad.set_span(kSecond);
         b.good.clear();
         b.bad.clear();
-        b.lowered = 0;
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
@@ -362,12 +360,9 @@
     if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
     const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time);
     const double before = b.limit;
-    if (late && h.sent >= b.lowered) {
-      b.limit *= 1 - kStep * (1 - kLateShare);
-      b.lowered = now_;
-    } else if (!late && (h.out_before + 1 > b.limit / 2 || total_out_ + 1 > total_limit_ * 0.7)) {
-      b.limit *= 1 + kStep * kLateShare;  // quickly up to the first late answer
-    }
+    const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
+    if (late) b.limit -= step * (1 - kLateShare);
+    else if (h.out_before + 1 > b.limit / 2 || total_out_ + 1 > total_limit_ * 0.7) b.limit += step * kLateShare;
     b.limit = std::clamp(b.limit, kLeastLimit, kMostLimit);
     if (!b.told_to_stop) total_limit_ += b.limit - before;
   }
