A busy backend that answers nothing for the shortest due time gets nothing more

Cause: a hung backend keeps what it was sent until the first time-out, 0.6 to 3 s on, and until then it is a fair candidate.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -68,6 +68,7 @@
   std::int64_t cell = -1;
   double weight = 1;
   Tenths started_at = 0;
+  Tenths heard = 0;    // when it last answered, or went from idle to busy
   int out = 0;         // this node's own hand-offs in flight
   double limit = kLeastLimit;  // how many of them may be in flight
   Ring<8> good, bad;   // how hand-offs ended here lately
@@ -111,6 +112,8 @@
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     started_.set_span(kSecond / 10);
+    silence_ = s.workloads.empty() ? 0 : s.workloads[0].due_time;
+    for (const Workload& w : s.workloads) silence_ = std::min(silence_, w.due_time);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -182,6 +185,7 @@
     Backend& b = backends_[h.backend];
     if (h.ran != Ran::in_flight) return;
     --b.out;
+    b.heard = now_;
     --v.out;
     const bool never = e.ending == Ending::turned_away || e.ending == Ending::unreachable ||
                        e.ending == Ending::never_sent;
@@ -304,7 +308,7 @@
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
-    ++b.out;
+    if (b.out++ == 0) b.heard = now_;
     if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
     actions_.push_back({Do::hand_off, i, to, 0, v.valid_until});
     return true;
@@ -339,6 +343,7 @@
   // tried now and then.
   bool trusted(Backend& b, double fleet) {
     const double bad = b.bad.total(now_);
+    if (b.out > 0 && now_ - b.heard > silence_) return false;  // a hang, long before its first time-out
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
@@ -481,6 +486,7 @@
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
   std::vector<Index> ready_, waiting_;
+  Tenths silence_ = 0;  // a busy backend that answers nothing for so long gets nothing more
   int total_out_ = 0;
   double total_limit_ = 0;
   Ring<10> started_;  // hand-offs begun in the last second
