--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -287,10 +287,17 @@
 
   // ---- the choice
 
+  // An irreversible invocation is hopeless once an answer is worth nothing: its client doesn't try again, so ending
+  // it costs no work, and where a time-out stops it a huge one no longer holds up its backend.
+  Tenths worth_until(const Invocation& v) const {
+    const Workload& w = workloads_[v.workload];
+    return w.overdue_share > 0 || w.semantics != Semantics::irreversible ? v.valid_until : std::min(v.valid_until, v.arrived + w.due_time);
+  }
+
   // Hands an invocation to the better of two fresh random ready backends; false where that can't be done.
   bool hand_off(Index i) {
     Invocation& v = invocations_[i];
-    if (!v.held || v.streaming || now_ + margin_ >= v.valid_until) return false;
+    if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
     if (total_out_ > 0 && total_out_ >= total_limit_) return false;
     const double fleet = fleet_success();
@@ -310,7 +317,7 @@
     ++v.out;
     if (b.out++ == 0) b.heard = now_;
     if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
-    actions_.push_back({Do::hand_off, i, to, 0, v.valid_until});
+    actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
     return true;
   }
 
@@ -333,8 +340,9 @@
       b.bad_run = 0;
       b.good.add(now_, 1);
     } else {
-      b.bad.add(now_, 1);
       if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
+      // A busy backend answers some in time and some not: only time-outs with no answer between them are doubt.
+      if (ending != Ending::timed_out || b.bad_run >= 3) b.bad.add(now_, 1);
     }
   }
 
