--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,6 +58,7 @@
 constexpr double kFirstTogether = 16, kLeastLimit = 0.1, kMostLimit = 1000;
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
+constexpr double kRoomNear = 0.5;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
@@ -106,7 +107,7 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), first_limit_(kFirstTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
+        may_recall_(s.may_recall), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
@@ -308,6 +309,7 @@
       if (may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, v.work)) ready_.push_back(n);
     }
     if (ready_.empty()) return false;
+    stay_in_zone();
     stop_waiting(i);
     ++total_out_;
     started_.add(now_, 1);
@@ -321,6 +323,16 @@
     return true;
   }
 
+  // The own zone first, while two backends there have room to spare: links between zones cost time and money.
+  void stay_in_zone() {
+    near_.clear();
+    for (Index n : ready_) {
+      const Backend& b = backends_[n];
+      if (b.zone == zone_ && b.out + 1 <= b.limit * kRoomNear) near_.push_back(n);
+    }
+    if (near_.size() >= 2) ready_.swap(near_);
+  }
+
   // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties.
   Index better_of_two() {
     if (ready_.size() == 1) return ready_[0];
@@ -480,6 +492,7 @@
   std::knuth_b chance_;
   const int max_hand_offs_;
   const bool second_copies_, may_recall_;
+  const Index zone_;
   const double first_limit_;
   const Tenths margin_;  // no answer is left closer than this to its limit
   const double cold_from_;
@@ -493,7 +506,7 @@
   std::vector<double> usual_;  // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> ready_, waiting_;
+  std::vector<Index> ready_, near_, waiting_;
   Tenths silence_ = 0;  // a busy backend that answers nothing for so long gets nothing more
   int total_out_ = 0;
   double total_limit_ = 0;
