--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,7 +58,7 @@
 constexpr double kFirstTogether = 16, kLeastLimit = 0.1, kMostLimit = 1000;
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
-constexpr double kRoomNear = 0.5;  // own-zone backends fuller than this part of their limit are like any other
+constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
@@ -328,7 +328,7 @@
     near_.clear();
     for (Index n : ready_) {
       const Backend& b = backends_[n];
-      if (b.zone == zone_ && b.out + 1 <= b.limit * kRoomNear) near_.push_back(n);
+      if (b.zone == zone_ && b.out < std::max(1.0, b.limit * kRoomNear)) near_.push_back(n);
     }
     if (near_.size() >= 2) ready_.swap(near_);
   }
@@ -382,7 +382,8 @@
   // settles where a small share of the answers takes more than half of the due time. It guards against jams,
   // in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Workload& w, const HandOffEnded& e) {
-    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
+    // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is well.
+    if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out) return;
     const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time);
     const double before = b.limit;
     const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
