--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -92,6 +92,7 @@
   bool kept = false;  // the index is in use
   bool held = false;  // an answer is still owed
   bool streaming = false;
+  bool hinted = false;
   bool waiting = false;  // held with nothing out, for a place at a backend
   Index workload = 0;
   Tenths arrived = 0, valid_until = 0;
@@ -112,6 +113,7 @@
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
+    usual_work_ = usual_;
     started_.set_span(kSecond / 10);
     silence_ = s.workloads.empty() ? 0 : s.workloads[0].due_time;
     for (const Workload& w : s.workloads) silence_ = std::min(silence_, w.due_time);
@@ -174,7 +176,9 @@
     v.workload = a.workload;
     v.arrived = now_;
     v.valid_until = a.valid_until;
-    v.work = a.hint > 0 ? a.hint : usual_[a.workload];
+    v.hinted = a.hint > 0;
+    v.work = v.hinted ? a.hint : usual_[a.workload];
+    usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
     at(v.valid_until - margin_, a.invocation);
     if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
@@ -192,7 +196,7 @@
                        e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
-    learn_limit(b, h, workloads_[v.workload], e);
+    learn_limit(b, h, v, e);
     learn_health(b, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
@@ -381,10 +385,13 @@
   // How many of this node's hand-offs a backend may have in flight is learned from their times alone: the limit
   // settles where a small share of the answers takes more than half of the due time. It guards against jams,
   // in which every backend is busy with work whose answer comes too late.
-  void learn_limit(Backend& b, const HandOff& h, const Workload& w, const HandOffEnded& e) {
+  void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
+    const Workload& w = workloads_[v.workload];
     // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is well.
     if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out) return;
-    const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time);
+    // A large one takes long by itself: where its size is told, that is no sign of a queue.
+    const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
+    const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
     const double before = b.limit;
     const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     if (late) b.limit -= step * (1 - kLateShare);
@@ -504,6 +511,7 @@
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   std::uint64_t order_ = 0;
+  std::vector<double> usual_work_;  // by workload
   std::vector<double> usual_;  // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
