--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,6 +60,7 @@
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
+constexpr double kJamShare = 0.2;   // and the limit of the node, which stands above the sum of usual ones, here
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
@@ -131,7 +132,7 @@
   }
 
  private:
-  static constexpr double kColdRoom = 0.6;
+  static constexpr double kColdRoom = 0.35;
 
   // ---- events
 
@@ -163,6 +164,7 @@
     total_limit_ = 0;
     for (const Backend& b : backends_)
       if (!b.told_to_stop) total_limit_ += b.limit;
+    if (node_limit_ <= 0) node_limit_ = total_limit_;
     serve_waiting();
   }
 
@@ -304,7 +306,7 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
-    if (total_out_ > 0 && total_out_ >= total_limit_) return false;
+    if (total_out_ > 0 && total_out_ >= room()) return false;
     const double fleet = fleet_success();
     ready_.clear();
     for (Index n = 0; n < backends_.size(); ++n) {
@@ -394,12 +396,19 @@
     const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
     const double before = b.limit;
     const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
+    const bool full = total_out_ + 1 > room() * 0.7;
     if (late) b.limit -= step * (1 - kLateShare);
-    else if (h.out_before + 1 > b.limit / 2 || total_out_ + 1 > total_limit_ * 0.7) b.limit += step * kLateShare;
+    else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
+    // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
+    if (late) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
+    else if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
+    node_limit_ = std::max(1.0, node_limit_);
     b.limit = std::clamp(b.limit, kLeastLimit, kMostLimit);
     if (!b.told_to_stop) total_limit_ += b.limit - before;
   }
 
+  double room() const { return std::min(node_limit_, total_limit_); }
+
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
     return workloads_[v.workload].billing_value / usual_[v.workload];
@@ -424,7 +433,7 @@
   }
 
   void serve_waiting() {
-    while (!waiting_.empty() && total_out_ < total_limit_) {
+    while (!waiting_.empty() && total_out_ < room()) {
       std::size_t best = waiting_.size();
       for (std::size_t n = 0; n < waiting_.size(); ++n)
         if (best == waiting_.size() || density(invocations_[waiting_[n]]) > density(invocations_[waiting_[best]]))
@@ -518,7 +527,8 @@
   std::vector<Index> ready_, near_, waiting_;
   Tenths silence_ = 0;  // a busy backend that answers nothing for so long gets nothing more
   int total_out_ = 0;
-  double total_limit_ = 0;
+  double total_limit_ = 0;   // of all backends together
+  double node_limit_ = 0;    // learned from all answers together
   Ring<10> started_;  // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::vector<Action> actions_, early_;
