--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,7 +60,7 @@
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
-constexpr double kJamShare = 0.2;   // and the limit of the node, which stands above the sum of usual ones, here
+constexpr double kJamShare = 0.25;   // and the limit of the node, which stands above the sum of usual ones, here
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
