--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,6 +59,7 @@
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
+constexpr double kSlack = 0.5;      // second copies go out while less than this part of the room is taken
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kJamShare = 0.25;   // and the limit of the node, which stands above the sum of usual ones, here
 constexpr double kStep = 0.3;       // how far one late answer moves it
@@ -326,6 +327,9 @@
     if (b.out++ == 0) b.heard = now_;
     if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
+    // While there is slack, a slow one gets a second copy: its backend may hang or be slowed.
+    if (v.hand_offs.size() == 1 && second_copies_ && workloads_[v.workload].semantics != Semantics::irreversible)
+      at(now_ + workloads_[v.workload].due_time / 2, i);
     return true;
   }
 
@@ -497,6 +501,7 @@
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation, Answer::no);
+        else if (v.held && v.out == 1 && total_out_ < room() * kSlack) hand_off(d.invocation);
       }
     }
   }
