--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,7 +59,7 @@
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
-constexpr double kSlack = 0.5;      // second copies go out while less than this part of the room is taken
+constexpr double kSlack = 0.9;      // second copies go out while less than this part of the room is taken
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kJamShare = 0.25;   // and the limit of the node, which stands above the sum of usual ones, here
 constexpr double kStep = 0.3;       // how far one late answer moves it
@@ -117,8 +117,8 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    silence_ = s.workloads.empty() ? 0 : s.workloads[0].due_time;
-    for (const Workload& w : s.workloads) silence_ = std::min(silence_, w.due_time);
+    silence_ = s.workloads.empty() ? 0 : s.workloads[0].due_time * 2 / 5;
+    for (const Workload& w : s.workloads) silence_ = std::min(silence_, w.due_time * 2 / 5);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -368,12 +368,14 @@
     }
   }
 
+  bool falls_silent(const Backend& b) const { return b.out > 0 && now_ - b.heard > silence_; }
+
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it is
   // tried now and then.
   bool trusted(Backend& b, double fleet) {
     const double bad = b.bad.total(now_);
-    if (b.out > 0 && now_ - b.heard > silence_) return false;  // a hang, long before its first time-out
+    if (falls_silent(b)) return false;  // a hang, long before its first time-out
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
@@ -501,7 +503,7 @@
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation, Answer::no);
-        else if (v.held && v.out == 1 && total_out_ < room() * kSlack) hand_off(d.invocation);
+        else if (v.held && v.out == 1 && total_out_ < room() * kSlack && falls_silent(backends_[v.hand_offs.back().backend])) hand_off(d.invocation);
       }
     }
   }
