--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,7 +59,6 @@
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
-constexpr double kSlack = 0.9;      // second copies go out while less than this part of the room is taken
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
 constexpr double kJamShare = 0.25;   // and the limit of the node, which stands above the sum of usual ones, here
 constexpr double kStep = 0.3;       // how far one late answer moves it
@@ -71,7 +70,6 @@
   std::int64_t cell = -1;
   double weight = 1;
   Tenths started_at = 0;
-  Tenths heard = 0;    // when it last answered, or went from idle to busy
   int out = 0;         // this node's own hand-offs in flight
   double limit = kLeastLimit;  // how many of them may be in flight
   Ring<8> good, bad;   // how hand-offs ended here lately
@@ -117,8 +115,6 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    silence_ = s.workloads.empty() ? 0 : s.workloads[0].due_time * 2 / 5;
-    for (const Workload& w : s.workloads) silence_ = std::min(silence_, w.due_time * 2 / 5);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -193,7 +189,6 @@
     Backend& b = backends_[h.backend];
     if (h.ran != Ran::in_flight) return;
     --b.out;
-    b.heard = now_;
     --v.out;
     const bool never = e.ending == Ending::turned_away || e.ending == Ending::unreachable ||
                        e.ending == Ending::never_sent;
@@ -324,12 +319,9 @@
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
-    if (b.out++ == 0) b.heard = now_;
+    ++b.out;
     if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
-    // While there is slack, a slow one gets a second copy: its backend may hang or be slowed.
-    if (v.hand_offs.size() == 1 && second_copies_ && workloads_[v.workload].semantics != Semantics::irreversible)
-      at(now_ + workloads_[v.workload].due_time / 2, i);
     return true;
   }
 
@@ -368,14 +360,11 @@
     }
   }
 
-  bool falls_silent(const Backend& b) const { return b.out > 0 && now_ - b.heard > silence_; }
-
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it is
   // tried now and then.
   bool trusted(Backend& b, double fleet) {
     const double bad = b.bad.total(now_);
-    if (falls_silent(b)) return false;  // a hang, long before its first time-out
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
@@ -503,7 +492,6 @@
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation, Answer::no);
-        else if (v.held && v.out == 1 && total_out_ < room() * kSlack && falls_silent(backends_[v.hand_offs.back().backend])) hand_off(d.invocation);
       }
     }
   }
@@ -532,7 +520,6 @@
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
   std::vector<Index> ready_, near_, waiting_;
-  Tenths silence_ = 0;  // a busy backend that answers nothing for so long gets nothing more
   int total_out_ = 0;
   double total_limit_ = 0;   // of all backends together
   double node_limit_ = 0;    // learned from all answers together
