--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -93,6 +93,7 @@
   bool held = false;  // an answer is still owed
   bool streaming = false;
   bool hinted = false;
+  bool repeat = false;
   bool waiting = false;  // held with nothing out, for a place at a backend
   Index workload = 0;
   Tenths arrived = 0, valid_until = 0;
@@ -175,6 +176,7 @@
     v.workload = a.workload;
     v.arrived = now_;
     v.valid_until = a.valid_until;
+    v.repeat = a.client_repeat;
     v.hinted = a.hint > 0;
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
@@ -406,7 +408,7 @@
 
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
-    return workloads_[v.workload].billing_value / usual_[v.workload];
+    return workloads_[v.workload].billing_value / usual_[v.workload] * (v.repeat ? 0.5 : 1);
   }
 
   // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one that
