--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -408,16 +408,17 @@
 
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
-    return workloads_[v.workload].billing_value / usual_[v.workload] * (v.repeat ? 0.5 : 1);
+    return workloads_[v.workload].billing_value / usual_[v.workload];
   }
 
   // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one that
   // is worth less for its work, is answered at once.
+  // A client's flagged repeat never waits: its due time has run since the first try, and waiting made it late.
   void wait_or_answer(Index i) {
     Invocation& v = invocations_[i];
     const Tenths patience = workloads_[v.workload].due_time / 4;
     const Tenths until = v.arrived + patience;
-    if (until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i, Answer::no);
+    if (v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i, Answer::no);
     v.waiting = true;
     waiting_.push_back(i);
     at(until, i);
