--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -416,7 +416,7 @@
   // A client's flagged repeat never waits: its due time has run since the first try, and waiting made it late.
   void wait_or_answer(Index i) {
     Invocation& v = invocations_[i];
-    const Tenths patience = workloads_[v.workload].due_time / 4;
+    const Tenths patience = workloads_[v.workload].due_time / 8;
     const Tenths until = v.arrived + patience;
     if (v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i, Answer::no);
     v.waiting = true;
