Limits never below two a backend for all nodes together

Change: what all nodes together keep in flight doesn't fall below two a backend, which no backend jams on.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,7 +55,7 @@
 };
 
 constexpr Tenths kSecond = 10000;
-constexpr double kFirstTogether = 16, kLeastLimit = 0.1, kMostLimit = 1000;
+constexpr double kFirstTogether = 16, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
@@ -71,7 +71,7 @@
   double weight = 1;
   Tenths started_at = 0;
   int out = 0;         // this node's own hand-offs in flight
-  double limit = kLeastLimit;  // how many of them may be in flight
+  double limit = 0;    // how many of them may be in flight
   Ring<8> good, bad;   // how hand-offs ended here lately
   int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
@@ -109,7 +109,8 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
+        may_recall_(s.may_recall), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)),
+        least_limit_(kLeastTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
@@ -399,8 +400,8 @@
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     if (late) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
     else if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
-    node_limit_ = std::max(1.0, node_limit_);
-    b.limit = std::clamp(b.limit, kLeastLimit, kMostLimit);
+    node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(backends_.size())});
+    b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
     if (!b.told_to_stop) total_limit_ += b.limit - before;
   }
 
@@ -508,7 +509,7 @@
   const int max_hand_offs_;
   const bool second_copies_, may_recall_;
   const Index zone_;
-  const double first_limit_;
+  const double first_limit_, least_limit_;
   const Tenths margin_;  // no answer is left closer than this to its limit
   const double cold_from_;
   const Tenths warm_within_, fall_bucket_;
