--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,7 +55,7 @@
 };
 
 constexpr Tenths kSecond = 10000;
-constexpr double kFirstTogether = 16, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
+constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
@@ -75,6 +75,8 @@
   Ring<8> good, bad;   // how hand-offs ended here lately
   int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
+  Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
+  bool drawn = false;
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
 };
 
@@ -281,7 +283,16 @@
       weight += peer.weight;
     }
     if (weight <= 0) return b.out == 0;  // none to compare with: one at a time can't outrun the backend
-    return b.cold_sent.total(now_) + work <= cold_multiple_ * part * done * b.weight / weight;
+    const double allowed = cold_multiple_ * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
+    if (sent + work <= allowed) return true;
+    // With many nodes a node's part is less than one invocation: it then draws once a window whether to send one,
+    // so that all nodes together send what they may, not nothing.
+    if (sent > 0 || work <= 0) return false;
+    if (now_ >= b.draw_again) {
+      b.draw_again = now_ + fall_bucket_ * 15;
+      b.drawn = uniform() * work < allowed;
+    }
+    return b.drawn;
   }
 
   // The part of its work that a backend can do at its age, at the least.
@@ -323,7 +334,7 @@
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
     ++b.out;
-    if (warmth(b) < 1) b.cold_sent.add(now_, v.work);
+    if (warmth(b) < 1) b.cold_sent.add(now_, v.work), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
     return true;
   }
