--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -80,11 +80,6 @@
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
 };
 
-struct TenantPart {
-  double quota = 0;    // this node's part of it, over the length of the ring
-  Ring<8> arrived;
-};
-
 enum class Ran { in_flight, maybe, never };
 
 struct HandOff {
@@ -100,7 +95,6 @@
   bool held = false;  // an answer is still owed
   bool streaming = false;
   bool hinted = false;
-  double worth = 1;  // less beyond its tenant's share
   bool repeat = false;
   bool waiting = false;  // held with nothing out, for a place at a backend
   Index workload = 0;
@@ -121,12 +115,7 @@
         least_limit_(kLeastTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
-        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads),
-        beyond_share_(s.beyond_share_value) {
-    for (const Tenant& t : s.tenants) {
-      tenants_.push_back({t.quota_per_s * 4 / std::max(1, s.nodes), {}});
-      tenants_.back().arrived.set_span(kSecond / 2);
-    }
+        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
@@ -194,7 +183,6 @@
     v.hinted = a.hint > 0;
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
-    if (a.tenant < tenants_.size()) v.worth = tenant_worth(tenants_[a.tenant]);
     at(v.valid_until - margin_, a.invocation);
     if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
@@ -428,18 +416,11 @@
     if (!b.told_to_stop) total_limit_ += b.limit - before;
   }
 
-  // What goes beyond a tenant's share is worth little: as many of its invocations as this node's part of the traffic
-  // shows to be beyond it are turned away first.
-  double tenant_worth(TenantPart& t) {
-    t.arrived.add(now_, 1);
-    return uniform() * t.arrived.total(now_) > t.quota ? beyond_share_ : 1;
-  }
-
   double room() const { return std::min(node_limit_, total_limit_); }
 
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
-    return workloads_[v.workload].billing_value / usual_[v.workload] * v.worth;
+    return workloads_[v.workload].billing_value / usual_[v.workload];
   }
 
   // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one that
@@ -546,8 +527,6 @@
   const double cold_multiple_;
   const Tenths ask_gap_;
   const std::vector<Workload> workloads_;
-  const double beyond_share_;
-  std::vector<TenantPart> tenants_;
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   std::uint64_t order_ = 0;
