--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -56,7 +56,7 @@
 
 constexpr Tenths kSecond = 10000;
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
-constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
+constexpr double kLateShare = 0.07;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
