--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -56,7 +56,7 @@
 
 constexpr Tenths kSecond = 10000;
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
-constexpr double kLateShare = 0.07;  // the limit settles where so many answers take longer than they should
+constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
 constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;     // ... than this part of the due time
@@ -73,6 +73,7 @@
   int out = 0;         // this node's own hand-offs in flight
   double limit = 0;    // how many of them may be in flight
   Ring<8> good, bad;   // how hand-offs ended here lately
+  Tenths quick_sent = 0;  // when the latest hand-off with a quick answer was sent
   int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -349,16 +350,29 @@
     if (near_.size() >= 2) ready_.swap(near_);
   }
 
-  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties.
+  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties. Both are drawn by their size
+  // in the list, of which a fresh backend counts the part that its age allows.
   Index better_of_two() {
     if (ready_.size() == 1) return ready_[0];
-    const std::size_t one = below(ready_.size());
-    std::size_t two = below(ready_.size() - 1);
-    if (two >= one) ++two;
+    const std::size_t one = draw(ready_.size()), two = draw(one);
     const Index a = ready_[one], b = ready_[two];
     if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
-    return below(2) == 0 ? a : b;
+    return uniform() < 0.5 ? a : b;
+  }
+  std::size_t draw(std::size_t but) {
+    double sum = 0;
+    for (std::size_t n = 0; n < ready_.size(); ++n)
+      if (n != but) sum += pull(ready_[n]);
+    double left = uniform() * sum;
+    std::size_t last = 0;
+    for (std::size_t n = 0; n < ready_.size(); ++n) {
+      if (n == but) continue;
+      last = n;
+      if ((left -= pull(ready_[n])) < 0) break;
+    }
+    return last;
   }
+  double pull(Index n) const { return std::max(1e-3, backends_[n].weight * warmth(backends_[n])); }
 
   // ---- health
 
@@ -403,6 +417,9 @@
     // A large one takes long by itself: where its size is told, that is no sign of a queue.
     const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
     const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
+    if (e.ending == Ending::succeeded && !late) b.quick_sent = std::max(b.quick_sent, h.sent);
+    // A queue holds up what was sent later too: what quick answers overtook was lost or huge, and no sign of a jam.
+    if (late && h.sent < b.quick_sent) return;
     const double before = b.limit;
     const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     const bool full = total_out_ + 1 > room() * 0.7;
@@ -486,7 +503,6 @@
   }
 
   double uniform() { return std::generate_canonical<double, 32>(chance_); }
-  std::size_t below(std::size_t n) { return std::min(n - 1, static_cast<std::size_t>(uniform() * n)); }
 
   struct Due {
     Tenths at;
