--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -73,7 +73,6 @@
   int out = 0;         // this node's own hand-offs in flight
   double limit = 0;    // how many of them may be in flight
   Ring<8> good, bad;   // how hand-offs ended here lately
-  Tenths quick_sent = 0;  // when the latest hand-off with a quick answer was sent
   int bad_run = 0;     // how many of the last ones in a row ended badly
   Ring<16> done;       // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -417,9 +416,6 @@
     // A large one takes long by itself: where its size is told, that is no sign of a queue.
     const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
     const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
-    if (e.ending == Ending::succeeded && !late) b.quick_sent = std::max(b.quick_sent, h.sent);
-    // A queue holds up what was sent later too: what quick answers overtook was lost or huge, and no sign of a jam.
-    if (late && h.sent < b.quick_sent) return;
     const double before = b.limit;
     const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     const bool full = total_out_ + 1 > room() * 0.7;
