--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -57,10 +57,11 @@
 constexpr Tenths kSecond = 10000;
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
-constexpr double kTrust = 0.8;      // the part of the fleet's success that a doubtful backend must be drawn to reach
-constexpr double kRoomNear = 0.8;  // own-zone backends fuller than this part of their limit are like any other
-constexpr double kSlowAt = 0.5;     // ... than this part of the due time
-constexpr double kJamShare = 0.25;   // and the limit of the node, which stands above the sum of usual ones, here
+constexpr double kTrust = 0.8;  // a doubtful backend must be drawn to reach this part of the fleet's success
+constexpr double kRoomNear =
+    0.8;                         // own-zone backends fuller than this part of their limit are like any other
+constexpr double kSlowAt = 0.5;  // ... than this part of the due time
+constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
 
 struct Backend {
@@ -70,11 +71,11 @@
   std::int64_t cell = -1;
   double weight = 1;
   Tenths started_at = 0;
-  int out = 0;         // this node's own hand-offs in flight
-  double limit = 0;    // how many of them may be in flight
-  Ring<8> good, bad;   // how hand-offs ended here lately
-  int bad_run = 0;     // how many of the last ones in a row ended badly
-  Ring<16> done;       // work this node got done here
+  int out = 0;            // this node's own hand-offs in flight
+  double limit = 0;       // how many of them may be in flight
+  Ring<8> good, bad;      // how hand-offs ended here lately
+  int bad_run = 0;        // how many of the last ones in a row ended badly
+  Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
   bool drawn = false;
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
@@ -112,7 +113,9 @@
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
         may_recall_(s.may_recall), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)),
-        least_limit_(kLeastTogether / std::max(1, s.nodes)), margin_(s.tick + 1), cold_from_(s.cold_from), warm_within_(s.warm_within),
+        least_limit_(kLeastTogether / std::max(1, s.nodes)),
+        max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
+        cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
         ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
@@ -195,8 +198,8 @@
     if (h.ran != Ran::in_flight) return;
     --b.out;
     --v.out;
-    const bool never = e.ending == Ending::turned_away || e.ending == Ending::unreachable ||
-                       e.ending == Ending::never_sent;
+    const bool never =
+        e.ending == Ending::turned_away || e.ending == Ending::unreachable || e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
     learn_limit(b, h, v, e);
@@ -227,16 +230,17 @@
 
   // ---- the rules
 
-  enum class Answer { no };
-
   // Rule 1: the one place where an invocation gets its final answer from this node. A rejection is given only
   // where rule 2 lets the client try again without harm.
-  void answer(Index i, Answer) {
+  void answer(Index i) {
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming) return;
     v.held = false;
     stop_waiting(i);
-    actions_.push_back({may_reject(v) ? Do::reject : Do::give_up, i, kNone, 0, 0});
+    // Where clients heed it, they are told to come back when a place is likely to be free.
+    const Tenths retry_in = std::min(max_retry_in_, workloads_[v.workload].due_time / 8);
+    if (may_reject(v)) actions_.push_back({Do::reject, i, kNone, 0, retry_in});
+    else actions_.push_back({Do::give_up, i, kNone, 0, 0});
     for (std::size_t n = 0; n < v.hand_offs.size(); ++n)
       if (may_recall_ && v.hand_offs[n].ran == Ran::in_flight)
         actions_.push_back({Do::recall, i, kNone, static_cast<int>(n), 0});
@@ -270,12 +274,13 @@
   // Rule 3: nothing goes to a backend that this node was told is draining or gone; the grace is not used.
   bool may_go_to(const Backend& b) const { return !b.told_to_stop; }
 
-  // Rule 4: all nodes together must not push over a cold backend. Each node sends it at most its own part: what
-  // this node gets done on warm backends of that kind, times what a cold one can do, times the multiple.
+  // Rule 4: all nodes together must not push over a cold backend. Each node sends it at most its own part:
+  // what this node gets done on warm backends of that kind, times what a cold one can do, times the multiple.
   bool within_cold_budget(Backend& b, double work) {
     const double part = warmth(b);
     if (part >= 1) return true;
-    if (b.out >= std::max(1.0, b.limit * part)) return false;  // what jams takes no more, whatever it took before
+    if (b.out >= std::max(1.0, b.limit * part))
+      return false;  // what jams takes no more, whatever it took before
     double done = 0, weight = 0;
     for (Backend& peer : backends_) {
       if (peer.told_to_stop || peer.kind != b.kind || warmth(peer) < 1) continue;
@@ -285,8 +290,8 @@
     if (weight <= 0) return b.out == 0;  // none to compare with: one at a time can't outrun the backend
     const double allowed = cold_multiple_ * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
     if (sent + work <= allowed) return true;
-    // With many nodes a node's part is less than one invocation: it then draws once a window whether to send one,
-    // so that all nodes together send what they may, not nothing.
+    // With many nodes a node's part is less than one invocation: it then draws once a window whether to send
+    // one, so that all nodes together send what they may, not nothing.
     if (sent > 0 || work <= 0) return false;
     if (now_ >= b.draw_again) {
       b.draw_again = now_ + fall_bucket_ * 15;
@@ -304,11 +309,13 @@
 
   // ---- the choice
 
-  // An irreversible invocation is hopeless once an answer is worth nothing: its client doesn't try again, so ending
-  // it costs no work, and where a time-out stops it a huge one no longer holds up its backend.
+  // An irreversible invocation is hopeless once an answer is worth nothing: its client doesn't try again, so
+  // ending it costs no work, and where a time-out stops it a huge one no longer holds up its backend.
   Tenths worth_until(const Invocation& v) const {
     const Workload& w = workloads_[v.workload];
-    return w.overdue_share > 0 || w.semantics != Semantics::irreversible ? v.valid_until : std::min(v.valid_until, v.arrived + w.due_time);
+    return w.overdue_share > 0 || w.semantics != Semantics::irreversible
+               ? v.valid_until
+               : std::min(v.valid_until, v.arrived + w.due_time);
   }
 
   // Hands an invocation to the better of two fresh random ready backends; false where that can't be done.
@@ -349,8 +356,8 @@
     if (near_.size() >= 2) ready_.swap(near_);
   }
 
-  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties. Both are drawn by their size
-  // in the list, of which a fresh backend counts the part that its age allows.
+  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties. Both are drawn by their
+  // size in the list, of which a fresh backend counts the part that its age allows.
   Index better_of_two() {
     if (ready_.size() == 1) return ready_[0];
     const std::size_t one = draw(ready_.size()), two = draw(one);
@@ -382,14 +389,15 @@
       b.good.add(now_, 1);
     } else {
       if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
-      // A busy backend answers some in time and some not: only time-outs with no answer between them are doubt.
+      // A busy backend answers some in time and some not: only time-outs with no answer between them are
+      // doubt.
       if (ending != Ending::timed_out || b.bad_run >= 3) b.bad.add(now_, 1);
     }
   }
 
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
-  // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it is
-  // tried now and then.
+  // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
+  // is tried now and then.
   bool trusted(Backend& b, double fleet) {
     const double bad = b.bad.total(now_);
     if (bad < 0.5) return true;
@@ -406,18 +414,22 @@
 
   // ---- limits and waiting
 
-  // How many of this node's hand-offs a backend may have in flight is learned from their times alone: the limit
-  // settles where a small share of the answers takes more than half of the due time. It guards against jams,
-  // in which every backend is busy with work whose answer comes too late.
+  // How many of this node's hand-offs a backend may have in flight is learned from their times alone: the
+  // limit settles where a small share of the answers takes more than half of the due time. It guards against
+  // jams, in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
     const Workload& w = workloads_[v.workload];
-    // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is well.
-    if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out) return;
+    // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is
+    // well.
+    if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out)
+      return;
     // A large one takes long by itself: where its size is told, that is no sign of a queue.
     const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
-    const bool late = e.ending != Ending::succeeded || static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
+    const bool late = e.ending != Ending::succeeded ||
+                      static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
     const double before = b.limit;
-    const double step = std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
+    const double step =
+        std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     const bool full = total_out_ + 1 > room() * 0.7;
     if (late) b.limit -= step * (1 - kLateShare);
     else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
@@ -436,14 +448,14 @@
     return workloads_[v.workload].billing_value / usual_[v.workload];
   }
 
-  // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one that
-  // is worth less for its work, is answered at once.
-  // A client's flagged repeat never waits: its due time has run since the first try, and waiting made it late.
+  // With no place free, an invocation waits if its turn is likely to come in time; else it, or a waiting one
+  // that is worth less for its work, is answered at once. A client's flagged repeat never waits: its due time
+  // has run since the first try, and waiting made it late.
   void wait_or_answer(Index i) {
     Invocation& v = invocations_[i];
     const Tenths patience = workloads_[v.workload].due_time / 8;
     const Tenths until = v.arrived + patience;
-    if (v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i, Answer::no);
+    if (v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i);
     v.waiting = true;
     waiting_.push_back(i);
     at(until, i);
@@ -452,14 +464,15 @@
     Index worst = i;
     for (Index n : waiting_)
       if (density(invocations_[n]) < density(invocations_[worst])) worst = n;
-    answer(worst, Answer::no);
+    answer(worst);
   }
 
   void serve_waiting() {
     while (!waiting_.empty() && total_out_ < room()) {
       std::size_t best = waiting_.size();
       for (std::size_t n = 0; n < waiting_.size(); ++n)
-        if (best == waiting_.size() || density(invocations_[waiting_[n]]) > density(invocations_[waiting_[best]]))
+        if (best == waiting_.size() ||
+            density(invocations_[waiting_[n]]) > density(invocations_[waiting_[best]]))
           best = n;
       const Index i = waiting_[best];
       if (!hand_off(i)) return;
@@ -507,9 +520,7 @@
     std::uint32_t life;
     bool operator>(const Due& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
   };
-  void at(Tenths when, Index i) {
-    due_.push({when, order_++, i, i == kNone ? 0 : invocations_[i].life});
-  }
+  void at(Tenths when, Index i) { due_.push({when, order_++, i, i == kNone ? 0 : invocations_[i].life}); }
   void run_due() {
     while (!due_.empty() && due_.top().at <= now_) {
       const Due d = due_.top();
@@ -518,7 +529,7 @@
         actions_.push_back({Do::watch, kNone, kNone, 0, 0});
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
-        if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation, Answer::no);
+        if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation);
       }
     }
   }
@@ -533,7 +544,8 @@
   const bool second_copies_, may_recall_;
   const Index zone_;
   const double first_limit_, least_limit_;
-  const Tenths margin_;  // no answer is left closer than this to its limit
+  const Tenths max_retry_in_;  // 0 where clients don't heed it
+  const Tenths margin_;        // no answer is left closer than this to its limit
   const double cold_from_;
   const Tenths warm_within_, fall_bucket_;
   const double cold_multiple_;
@@ -543,14 +555,14 @@
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   std::uint64_t order_ = 0;
   std::vector<double> usual_work_;  // by workload
-  std::vector<double> usual_;  // by workload: how long a success usually takes
+  std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
   std::vector<Index> ready_, near_, waiting_;
   int total_out_ = 0;
-  double total_limit_ = 0;   // of all backends together
-  double node_limit_ = 0;    // learned from all answers together
-  Ring<10> started_;  // hand-offs begun in the last second
+  double total_limit_ = 0;  // of all backends together
+  double node_limit_ = 0;   // learned from all answers together
+  Ring<10> started_;        // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::vector<Action> actions_, early_;
 };
@@ -559,6 +571,8 @@
 Decider::~Decider() = default;
 Decider::Decider(Decider&&) noexcept = default;
 Decider& Decider::operator=(Decider&&) noexcept = default;
-const std::vector<Action>& Decider::decide(Tenths now, const Event& event) { return impl_->decide(now, event); }
+const std::vector<Action>& Decider::decide(Tenths now, const Event& event) {
+  return impl_->decide(now, event);
+}
 
 }  // namespace troutstage
--- a/src/decide.h
+++ b/src/decide.h
@@ -70,13 +70,13 @@
 
 enum class Ending {
   succeeded,
-  error,         // may have run
-  turned_away,   // never ran
-  timed_out,     // may have run
-  unreachable,   // never ran
-  broken,        // may have run
-  recalled,      // may have run
-  never_sent,    // never ran
+  error,        // may have run
+  turned_away,  // never ran
+  timed_out,    // may have run
+  unreachable,  // never ran
+  broken,       // may have run
+  recalled,     // may have run
+  never_sent,   // never ran
 };
 
 struct FleetList {
@@ -97,7 +97,7 @@
   Ending ending = Ending::succeeded;
   bool final = false;  // the invocation is finished
   Tenths took = 0;
-  double utilization = -1;   // of the backend, where it reports it
+  double utilization = -1;  // of the backend, where it reports it
 };
 struct AnswerStarted {
   Index invocation = kNone;
@@ -113,17 +113,16 @@
   Tenths took = 0;
 };
 
-using Event =
-    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded>;
+using Event = std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded>;
 
 enum class Do {
-  hand_off,  // invocation, backend, at: when to drop it
-  reject,    // invocation, at: how long the client should wait, or 0
-  give_up,   // invocation
-  recall,    // invocation, number
-  set_timer, // at
-  watch,     // the list, from here on
-  forget,    // invocation: the index may be used again
+  hand_off,   // invocation, backend, at: when to drop it
+  reject,     // invocation, at: how long the client should wait, or 0
+  give_up,    // invocation
+  recall,     // invocation, number
+  set_timer,  // at
+  watch,      // the list, from here on
+  forget,     // invocation: the index may be used again
 };
 
 struct Action {
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -16,22 +16,23 @@
   throw Malformed("unknown " + std::string(what) + " '" + std::string(text) + "'");
 }
 
-constexpr std::pair<std::string_view, Ending> kEndings[] = {
-    {"OK", Ending::succeeded},          {"INTERNAL", Ending::error},
-    {"RESOURCE_EXHAUSTED", Ending::turned_away}, {"DEADLINE_EXCEEDED", Ending::timed_out},
-    {"UNAVAILABLE", Ending::unreachable}, {"ABORTED", Ending::broken},
-    {"CANCELLED", Ending::recalled},    {"TOO_LATE", Ending::never_sent}};
-constexpr std::pair<std::string_view, Availability> kAvailabilities[] = {
-    {"Running", Availability::running},
-    {"Stopping", Availability::stopping},
-    {"Deleted", Availability::deleted}};
+constexpr std::pair<std::string_view, Ending> kEndings[] = {{"OK", Ending::succeeded},
+                                                            {"INTERNAL", Ending::error},
+                                                            {"RESOURCE_EXHAUSTED", Ending::turned_away},
+                                                            {"DEADLINE_EXCEEDED", Ending::timed_out},
+                                                            {"UNAVAILABLE", Ending::unreachable},
+                                                            {"ABORTED", Ending::broken},
+                                                            {"CANCELLED", Ending::recalled},
+                                                            {"TOO_LATE", Ending::never_sent}};
+constexpr std::pair<std::string_view, Availability> kAvailabilities[] = {{"Running", Availability::running},
+                                                                         {"Stopping", Availability::stopping},
+                                                                         {"Deleted", Availability::deleted}};
 constexpr std::pair<std::string_view, ListForm> kForms[] = {{"delta", ListForm::delta},
                                                             {"full", ListForm::full},
                                                             {"cached", ListForm::cached},
                                                             {"failed", ListForm::failed}};
-constexpr std::pair<std::string_view, Semantics> kSemantics[] = {{"repeatable", Semantics::redoable},
-                                                                 {"by_key", Semantics::labelled},
-                                                                 {"once", Semantics::irreversible}};
+constexpr std::pair<std::string_view, Semantics> kSemantics[] = {
+    {"repeatable", Semantics::redoable}, {"by_key", Semantics::labelled}, {"once", Semantics::irreversible}};
 constexpr std::pair<std::string_view, Group> kGroups[] = {
     {"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}};
 constexpr std::pair<std::string_view, bool> kBools[] = {
@@ -132,7 +133,8 @@
   s.client_heeds_retry_in = pairs.flag("bounds.retry-after");
   s.max_retry_in = pairs.span("bounds.max-retry-after");
   s.value_by_work = pairs.text_or("billing-value-basis", "request") == "work";
-  s.beyond_share_value = real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
+  s.beyond_share_value =
+      real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
   s.tick = pairs.span("tick");
   s.connect_timeout = pairs.span("bounds.connect-timeout");
   s.drain_grace = pairs.span("rules.drain-grace");
@@ -207,7 +209,8 @@
   return static_cast<int>(n);
 }
 
-static FleetList read_list(const Fields& fields, const std::vector<std::string>& rows, Ids& ids, Names& names) {
+static FleetList read_list(const Fields& fields, const std::vector<std::string>& rows, Ids& ids,
+                           Names& names) {
   FleetList list{word(fields[2], kForms, "form"), {}};
   whole_number(fields[3] == "-" ? "0" : fields[3], "stamp");
   for (const std::string& row : rows) {
@@ -259,7 +262,8 @@
     report.remove_prefix(std::min(report.size(), value.size() + 1));
     std::size_t colon = value.find(':');
     if (colon == std::string_view::npos) throw Malformed("report value without ':'");
-    if (value.substr(0, colon) == "utilization") e.utilization = real_number(value.substr(colon + 1), "utilization");
+    if (value.substr(0, colon) == "utilization")
+      e.utilization = real_number(value.substr(colon + 1), "utilization");
   }
   auto held = ids.invocation(f[2]);
   if (!held) return std::nullopt;
@@ -267,7 +271,8 @@
   return e;
 }
 
-std::optional<Event> read_event(const Fields& f, const std::vector<std::string>& rows, Ids& ids, Names& names) {
+std::optional<Event> read_event(const Fields& f, const std::vector<std::string>& rows, Ids& ids,
+                                Names& names) {
   const std::string_view name = f[0];
   if (name == "MEMBERSHIP") return read_list(f, rows, ids, names);
   if (name == "INCOMING") return read_arrival(f, ids, names);
@@ -308,7 +313,8 @@
   };
   const std::string time = std::to_string(action.at * kMicrosInTenth);
   switch (action.what) {
-    case Do::hand_off: return line("PLACE", ids.handle(action.invocation), ids.backend_id(action.backend), time);
+    case Do::hand_off:
+      return line("PLACE", ids.handle(action.invocation), ids.backend_id(action.backend), time);
     case Do::reject: return line("BUSY", ids.handle(action.invocation), time);
     case Do::give_up: return line("END_FAILED", ids.handle(action.invocation));
     case Do::recall: return line("RECALL", ids.handle(action.invocation), std::to_string(action.number));
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -73,7 +73,8 @@
     auto at = instances_.find(node);
     if (at == instances_.end()) throw wire::Malformed("unknown instance '" + node + "'");
     if (fields[0] == "KILLED") {
-      if (fields.size() != 2) throw wire::Malformed("KILLED has " + std::to_string(fields.size() - 1) + " fields, not 1");
+      if (fields.size() != 2)
+        throw wire::Malformed("KILLED has " + std::to_string(fields.size() - 1) + " fields, not 1");
       instances_.erase(at);
       return;
     }
@@ -95,7 +96,8 @@
       work();
     } catch (const std::exception& broke) {
       std::string words = broke.what();
-      std::replace_if(words.begin(), words.end(), [](char c) { return c == '\n' || c == '\t'; }, ' ');
+      std::replace_if(
+          words.begin(), words.end(), [](char c) { return c == '\n' || c == '\t'; }, ' ');
       reply_ += "PANIC\t" + node + "\t" + words + "\n";
     }
   }
