--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,8 +58,7 @@
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;  // a doubtful backend must be drawn to reach this part of the fleet's success
-constexpr double kRoomNear =
-    0.8;                         // own-zone backends fuller than this part of their limit are like any other
+constexpr double kRoomNear = 0.35;  // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
