--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,7 +58,8 @@
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;  // a doubtful backend must be drawn to reach this part of the fleet's success
-constexpr double kRoomNear = 0.35;  // own-zone backends fuller than this part of their limit are like any other
+constexpr double kRoomNear =
+    0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
@@ -280,13 +281,18 @@
     if (part >= 1) return true;
     if (b.out >= std::max(1.0, b.limit * part))
       return false;  // what jams takes no more, whatever it took before
-    double done = 0, weight = 0;
+    double done = 0, weight = 0, any_done = 0, any_weight = 0;
     for (Backend& peer : backends_) {
-      if (peer.told_to_stop || peer.kind != b.kind || warmth(peer) < 1) continue;
-      done += peer.done.total(now_) / 4;
-      weight += peer.weight;
+      if (peer.told_to_stop || warmth(peer) < 1) continue;
+      const double work_done = peer.done.total(now_) / 4;
+      any_done += work_done, any_weight += peer.weight;
+      if (peer.kind == b.kind) done += work_done, weight += peer.weight;
     }
-    if (weight <= 0) return b.out == 0;  // none to compare with: one at a time can't outrun the backend
+    // A rolling deploy can leave no warm backend of the kind. One at a time from each of many nodes then
+    // pushed the new ones over, so others are the measure, and with none at all a few sends a window from all
+    // nodes together.
+    if (weight <= 0) done = any_done, weight = any_weight;
+    if (weight <= 0) done = work * 2 * least_limit_ / (cold_multiple_ * part), weight = b.weight;
     const double allowed = cold_multiple_ * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
     if (sent + work <= allowed) return true;
     // With many nodes a node's part is less than one invocation: it then draws once a window whether to send
