Candidates drawn before they are tested; the node's limit alone is its room

Cost per invocation no longer grows with the fleet: a bounded number of draws before all are looked at, sums of warm work once a bucket.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -63,6 +63,7 @@
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
+constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
 struct Backend {
   bool known = false;
@@ -122,6 +123,7 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
+    good_.set_span(kSecond), bad_.set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -165,10 +167,17 @@
       b.weight = e.weight;
       b.started_at = e.started_at;
     }
-    total_limit_ = 0;
-    for (const Backend& b : backends_)
-      if (!b.told_to_stop) total_limit_ += b.limit;
-    if (node_limit_ <= 0) node_limit_ = total_limit_;
+    running_.clear(), own_zone_.clear();
+    top_weight_ = 0;
+    for (Index n = 0; n < backends_.size(); ++n) {
+      const Backend& b = backends_[n];
+      if (b.told_to_stop) continue;
+      running_.push_back(n);
+      if (b.zone == zone_) own_zone_.push_back(n);
+      top_weight_ = std::max(top_weight_, b.weight);
+    }
+    if (node_limit_ <= 0) node_limit_ = first_limit_ * static_cast<double>(running_.size());
+    measured_at_ = -1;
     serve_waiting();
   }
 
@@ -281,17 +290,13 @@
     if (part >= 1) return true;
     if (b.out >= std::max(1.0, b.limit * part))
       return false;  // what jams takes no more, whatever it took before
-    double done = 0, weight = 0, any_done = 0, any_weight = 0;
-    for (Backend& peer : backends_) {
-      if (peer.told_to_stop || warmth(peer) < 1) continue;
-      const double work_done = peer.done.total(now_) / 4;
-      any_done += work_done, any_weight += peer.weight;
-      if (peer.kind == b.kind) done += work_done, weight += peer.weight;
-    }
+    measure_warm();
+    const Warm& own = b.kind < warm_.size() ? warm_[b.kind] : all_warm_;
+    double done = own.done, weight = own.weight;
     // A rolling deploy can leave no warm backend of the kind. One at a time from each of many nodes then
     // pushed the new ones over, so others are the measure, and with none at all a few sends a window from all
     // nodes together.
-    if (weight <= 0) done = any_done, weight = any_weight;
+    if (weight <= 0) done = all_warm_.done, weight = all_warm_.weight;
     if (weight <= 0) done = work * 2 * least_limit_ / (cold_multiple_ * part), weight = b.weight;
     const double allowed = cold_multiple_ * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
     if (sent + work <= allowed) return true;
@@ -305,6 +310,21 @@
     return b.drawn;
   }
 
+  // What this node gets done in a window on warm backends, by kind: summed once a bucket, not for each cold one.
+  void measure_warm() {
+    if (now_ / fall_bucket_ == measured_at_) return;
+    measured_at_ = now_ / fall_bucket_;
+    warm_.assign(warm_.size(), {});
+    all_warm_ = {};
+    for (Index n : running_) {
+      Backend& b = backends_[n];
+      if (warmth(b) < 1) continue;
+      if (b.kind >= warm_.size()) warm_.resize(b.kind + 1);
+      const double done = b.done.total(now_) / 4;
+      for (Warm* w : {&warm_[b.kind], &all_warm_}) w->done += done, w->weight += b.weight;
+    }
+  }
+
   // The part of its work that a backend can do at its age, at the least.
   double warmth(const Backend& b) const {
     if (b.started_at <= 0 || warm_within_ <= 0) return 1;
@@ -328,20 +348,12 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
-    if (total_out_ > 0 && total_out_ >= room()) return false;
-    const double fleet = fleet_success();
-    ready_.clear();
-    for (Index n = 0; n < backends_.size(); ++n) {
-      Backend& b = backends_[n];
-      if (b.out >= std::max(1.0, b.limit) || !trusted(b, fleet)) continue;
-      if (may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, v.work)) ready_.push_back(n);
-    }
-    if (ready_.empty()) return false;
-    stay_in_zone();
+    if (total_out_ + uniform() >= node_limit_) return false;  // below one in flight, chance gives the fraction
+    const Index to = better_of_two(v);
+    if (to == kNone) return false;
     stop_waiting(i);
     ++total_out_;
     started_.add(now_, 1);
-    const Index to = better_of_two();
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
@@ -351,40 +363,52 @@
     return true;
   }
 
-  // The own zone first, while two backends there have room to spare: links between zones cost time and money.
-  void stay_in_zone() {
-    near_.clear();
-    for (Index n : ready_) {
-      const Backend& b = backends_[n];
-      if (b.zone == zone_ && b.out < std::max(1.0, b.limit * kRoomNear)) near_.push_back(n);
+  // Random with Two Choices among the ready: fewer of this node's own in flight, a coin toss on ties.
+  Index better_of_two(const Invocation& v) {
+    // The own zone first, while two backends there have room to spare: links between zones cost time and money.
+    Index a = kNone, b = kNone;
+    if (own_zone_.size() >= 2 && uniform() < stay_chance()) {
+      a = draw_ready(v, own_zone_, kNone, kRoomNear);
+      if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
+    }
+    if (b == kNone) {
+      a = draw_ready(v, running_, kNone, 1);
+      if (a == kNone) return kNone;
+      b = draw_ready(v, running_, a, 1);
+      if (b == kNone) return a;
     }
-    if (near_.size() >= 2) ready_.swap(near_);
-  }
-
-  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties. Both are drawn by their
-  // size in the list, of which a fresh backend counts the part that its age allows.
-  Index better_of_two() {
-    if (ready_.size() == 1) return ready_[0];
-    const std::size_t one = draw(ready_.size()), two = draw(one);
-    const Index a = ready_[one], b = ready_[two];
     if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
     return uniform() < 0.5 ? a : b;
   }
-  std::size_t draw(std::size_t but) {
+
+  // Draws one, then tests it, and draws again: the same chances as a draw among all ready ones, at a cost that
+  // does not grow with the fleet. Only where few are ready are all of them looked at.
+  Index draw_ready(const Invocation& v, const std::vector<Index>& from, Index but, double part) {
+    for (int tries = 0; tries < kDraws; ++tries) {
+      const Index n = from[std::min(from.size() - 1, static_cast<std::size_t>(uniform() * from.size()))];
+      if (n != but && uniform() * top_weight_ < pull(n) && ready(v, n, part)) return n;
+    }
     double sum = 0;
-    for (std::size_t n = 0; n < ready_.size(); ++n)
-      if (n != but) sum += pull(ready_[n]);
-    double left = uniform() * sum;
-    std::size_t last = 0;
-    for (std::size_t n = 0; n < ready_.size(); ++n) {
-      if (n == but) continue;
-      last = n;
-      if ((left -= pull(ready_[n])) < 0) break;
+    Index drawn = kNone;
+    for (Index n : from) {
+      if (n == but || !ready(v, n, part)) continue;
+      sum += pull(n);
+      if (uniform() * sum < pull(n)) drawn = n;
     }
-    return last;
+    return drawn;
+  }
+
+  bool ready(const Invocation& v, Index n, double part) {
+    Backend& b = backends_[n];
+    return b.out < std::max(1.0, b.limit * part) && trusted(b) && may_go_to(b) && may_repeat_at(v, b) &&
+           within_cold_budget(b, v.work);
   }
+
+  // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
   double pull(Index n) const { return std::max(1e-3, backends_[n].weight * warmth(backends_[n])); }
 
+  double stay_chance() { return 1; }
+
   // ---- health
 
   void learn_health(Backend& b, Ending ending) {
@@ -392,30 +416,26 @@
     if (ending == Ending::succeeded) {
       b.bad_run = 0;
       b.good.add(now_, 1);
+      good_.add(now_, 1);
     } else {
       if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
       // A busy backend answers some in time and some not: only time-outs with no answer between them are
       // doubt.
-      if (ending != Ending::timed_out || b.bad_run >= 3) b.bad.add(now_, 1);
+      if (ending != Ending::timed_out || b.bad_run >= 3) b.bad.add(now_, 1), bad_.add(now_, 1);
     }
   }
 
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
-  bool trusted(Backend& b, double fleet) {
+  bool trusted(Backend& b) {
     const double bad = b.bad.total(now_);
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
+    const double fleet = (good_.total(now_) + 1) / (good_.total(now_) + bad_.total(now_) + 1);
     return x > kTrust * fleet * (x + y);
   }
-  double fleet_success() {
-    double good = 1, bad = 0;
-    for (Backend& b : backends_)
-      if (!b.told_to_stop) good += b.good.total(now_), bad += b.bad.total(now_);
-    return good / (good + bad);
-  }
 
   // ---- limits and waiting
 
@@ -432,22 +452,18 @@
     const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
     const bool late = e.ending != Ending::succeeded ||
                       static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
-    const double before = b.limit;
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
-    const bool full = total_out_ + 1 > room() * 0.7;
+    const bool full = total_out_ + 1 > node_limit_ * 0.7;
     if (late) b.limit -= step * (1 - kLateShare);
     else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     if (late) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
     else if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
-    node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(backends_.size())});
+    node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
-    if (!b.told_to_stop) total_limit_ += b.limit - before;
   }
 
-  double room() const { return std::min(node_limit_, total_limit_); }
-
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
     return workloads_[v.workload].billing_value / usual_[v.workload];
@@ -473,7 +489,7 @@
   }
 
   void serve_waiting() {
-    while (!waiting_.empty() && total_out_ < room()) {
+    while (!waiting_.empty() && total_out_ < node_limit_) {
       std::size_t best = waiting_.size();
       for (std::size_t n = 0; n < waiting_.size(); ++n)
         if (best == waiting_.size() ||
@@ -563,9 +579,16 @@
   std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> ready_, near_, waiting_;
+  std::vector<Index> running_, own_zone_, waiting_;
+  double top_weight_ = 0;
+  std::int64_t measured_at_ = -1;
+  struct Warm {
+    double done = 0, weight = 0;
+  };
+  std::vector<Warm> warm_;  // by kind
+  Warm all_warm_;
+  Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
-  double total_limit_ = 0;  // of all backends together
   double node_limit_ = 0;   // learned from all answers together
   Ring<10> started_;        // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
