--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 #include <queue>
 #include <random>
@@ -63,8 +64,16 @@
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
+constexpr double kZoneBend = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
+// How long successes took beside what is usual for their workload, as a mean of logarithms: a few answers tell
+// of a group of backends what would take a long time to learn of each.
+struct Pace {
+  Ring<16> sum, count;
+  double slowness(Tenths now) { return sum.total(now) / (count.total(now) + 8); }
+};
+
 struct Backend {
   bool known = false;
   bool told_to_stop = true;  // draining, gone or not listed (yet)
@@ -212,6 +221,7 @@
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
     learn_limit(b, h, v, e);
+    learn_pace(b, v, e);
     learn_health(b, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
@@ -405,9 +415,29 @@
   }
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
-  double pull(Index n) const { return std::max(1e-3, backends_[n].weight * warmth(backends_[n])); }
-
-  double stay_chance() { return 1; }
+  double pull(Index n) {
+    const Backend& b = backends_[n];
+    const double pace = b.kind < kinds_.size() ? std::exp(fastest_ - kind_slowness_[b.kind]) : 1;
+    return std::max(1e-3, b.weight * warmth(b) * pace);
+  }
+
+  double stay_chance() {
+    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
+  }
+
+  void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
+    if (e.ending != Ending::succeeded && e.ending != Ending::timed_out) return;
+    const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
+    const double slow = std::log(std::max(1.0, static_cast<double>(e.took)) / std::max(1.0, usual));
+    if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
+    for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
+      p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
+    fastest_ = 1e9;
+    for (std::size_t k = 0; k < kinds_.size(); ++k) {
+      kind_slowness_[k] = kinds_[k].slowness(now_);
+      fastest_ = std::min(fastest_, kind_slowness_[k]);
+    }
+  }
 
   // ---- health
 
@@ -587,6 +617,10 @@
   };
   std::vector<Warm> warm_;  // by kind
   Warm all_warm_;
+  Pace near_, far_;
+  std::vector<Pace> kinds_;
+  std::vector<double> kind_slowness_;
+  double fastest_ = 0;
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;   // learned from all answers together
