A backend rarely met is doubted from its first late answer, and for longer

With many nodes three time-outs in a row at one backend are never seen; failures now count in the pooled pace too, so a cut zone is left alone.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,6 +34,12 @@
     turn(now);
     return std::max(0.0, total_);
   }
+  double total(Tenths now, int last) {  // over the last few spans only
+    turn(now);
+    double sum = 0;
+    for (int n = 0; n < last && total_ > 0; ++n) sum += sums_[(newest_ - n + N) % N];
+    return sum;
+  }
   void clear() {
     sums_.fill(0);
     total_ = 0;
@@ -83,7 +89,7 @@
   Tenths started_at = 0;
   int out = 0;            // this node's own hand-offs in flight
   double limit = 0;       // how many of them may be in flight
-  Ring<8> good, bad;      // how hand-offs ended here lately
+  Ring<16> good, bad;     // how hand-offs ended here lately
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -162,8 +168,8 @@
         b.done.set_span(fall_bucket_ * 4);
         b.cold_sent.set_span(fall_bucket_);
         b.done.clear();
-        b.good.set_span(kSecond);
-        b.bad.set_span(kSecond);
+        b.good.set_span(kSecond * 2);
+        b.bad.set_span(kSecond * 2);
         b.good.clear();
         b.bad.clear();
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
@@ -222,7 +228,7 @@
     --total_out_;
     learn_limit(b, h, v, e);
     learn_pace(b, v, e);
-    learn_health(b, e.ending);
+    learn_health(b, v, e);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
@@ -426,9 +432,11 @@
   }
 
   void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
-    if (e.ending != Ending::succeeded && e.ending != Ending::timed_out) return;
+    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
+    // What failed took as long as its client would wait.
+    const Tenths took = e.ending == Ending::succeeded ? e.took : workloads_[v.workload].time_limit;
     const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
-    const double slow = std::log(std::max(1.0, static_cast<double>(e.took)) / std::max(1.0, usual));
+    const double slow = std::log(std::max(1.0, static_cast<double>(took)) / std::max(1.0, usual));
     if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
     for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
       p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
@@ -441,27 +449,38 @@
 
   // ---- health
 
-  void learn_health(Backend& b, Ending ending) {
-    if (ending == Ending::never_sent || ending == Ending::recalled) return;
-    if (ending == Ending::succeeded) {
+  void learn_health(Backend& b, const Invocation& v, const HandOffEnded& e) {
+    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
+    const bool late =
+        e.ending == Ending::timed_out ||
+        (e.ending == Ending::succeeded && e.took > workloads_[v.workload].due_time && !v.hinted);
+    if (e.ending == Ending::succeeded && !late) {
       b.bad_run = 0;
       b.good.add(now_, 1);
       good_.add(now_, 1);
-    } else {
-      if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
-      // A busy backend answers some in time and some not: only time-outs with no answer between them are
-      // doubt.
-      if (ending != Ending::timed_out || b.bad_run >= 3) b.bad.add(now_, 1), bad_.add(now_, 1);
+      return;
     }
+    if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
+    // A busy backend answers some in time and some not: only late ones with none in time between them are
+    // doubt, or the first where this node hears of it too rarely to know better.
+    if (late && b.bad_run < 3 && b.good.total(now_, memory()) >= 1) return;
+    b.bad.add(now_, 1), bad_.add(now_, 1);
+  }
+
+  // How far back is remembered, in spans: longer where this node seldom meets one backend.
+  int memory() {
+    return static_cast<int>(
+        std::clamp(4.0 * static_cast<double>(running_.size()) / (started_.total(now_) + 1) / 2, 4.0, 16.0));
   }
 
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
   bool trusted(Backend& b) {
-    const double bad = b.bad.total(now_);
+    const int last = memory();
+    const double bad = b.bad.total(now_, last);
     if (bad < 0.5) return true;
-    const double x = std::gamma_distribution<double>(b.good.total(now_) + 1)(chance_);
+    const double x = std::gamma_distribution<double>(b.good.total(now_, last) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
     const double fleet = (good_.total(now_) + 1) / (good_.total(now_) + bad_.total(now_) + 1);
     return x > kTrust * fleet * (x + y);
