--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -118,6 +118,7 @@
   Tenths arrived = 0, valid_until = 0;
   double work = 0;
   int out = 0;
+  Tenths copy_at = 0;      // when a second copy may go out; 0: not at all
   std::uint32_t life = 0;  // tells this use of the index from earlier ones
   std::vector<HandOff> hand_offs;
 };
@@ -233,7 +234,7 @@
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
-    if (e.final || e.ending == Ending::succeeded) v.held = false;
+    if (e.final || e.ending == Ending::succeeded) v.held = false, recall_rest(e.invocation);
     if (v.held && v.out == 0 && !hand_off(e.invocation)) wait_or_answer(e.invocation);
     forget_if_done(e.invocation);
     serve_waiting();
@@ -247,6 +248,7 @@
     if (e.invocation >= invocations_.size()) return;
     invocations_[e.invocation].held = false;
     stop_waiting(e.invocation);
+    recall_rest(e.invocation);
     forget_if_done(e.invocation);
   }
 
@@ -266,10 +268,16 @@
     const Tenths retry_in = std::min(max_retry_in_, workloads_[v.workload].due_time / 8);
     if (may_reject(v)) actions_.push_back({Do::reject, i, kNone, 0, retry_in});
     else actions_.push_back({Do::give_up, i, kNone, 0, 0});
+    recall_rest(i);
+    forget_if_done(i);
+  }
+
+  // What is still out for an invocation that is finished is called back: some backends then stop its work.
+  void recall_rest(Index i) {
+    const Invocation& v = invocations_[i];
     for (std::size_t n = 0; n < v.hand_offs.size(); ++n)
-      if (may_recall_ && v.hand_offs[n].ran == Ran::in_flight)
+      if (may_recall_ && !v.streaming && v.hand_offs[n].ran == Ran::in_flight)
         actions_.push_back({Do::recall, i, kNone, static_cast<int>(n), 0});
-    forget_if_done(i);
   }
 
   // Rule 2: whether the client may be told that trying again is harmless.
@@ -286,6 +294,7 @@
     const Workload& w = workloads_[v.workload];
     if (v.out > 0 && !second_copies_) return false;
     for (const HandOff& h : v.hand_offs) {
+      if (h.ran == Ran::in_flight && &backends_[h.backend] == &b) return false;  // a copy goes elsewhere
       if (h.ran == Ran::never || w.semantics == Semantics::redoable) continue;
       if (w.semantics == Semantics::irreversible) return false;
       const Backend& first = backends_[h.backend];
@@ -376,9 +385,25 @@
     ++b.out;
     if (warmth(b) < 1) b.cold_sent.add(now_, v.work), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
+    if (second_copies_ && v.out == 1 && b.good.total(now_, memory()) < 1) {
+      v.copy_at = now_ + slow_after(v);
+      at(v.copy_at, i);
+    }
     return true;
   }
 
+  // A second copy goes out where the first is slow at a backend of which this node knows no recent success:
+  // with many nodes each meets a slow or hung backend before it can have learned of it.
+  void copy(Index i) {
+    Invocation& v = invocations_[i];
+    v.copy_at = 0;
+    if (v.out != 1 || v.hand_offs.back().ran != Ran::in_flight) return;
+    Backend& b = backends_[v.hand_offs.back().backend];
+    ++b.bad_run;
+    b.bad.add(now_, 1), bad_.add(now_, 1);
+    hand_off(i);
+  }
+
   // Random with Two Choices among the ready: fewer of this node's own in flight, a coin toss on ties.
   Index better_of_two(const Invocation& v) {
     // The own zone first, while two backends there have room to spare: links between zones cost time and money.
@@ -492,15 +517,11 @@
   // limit settles where a small share of the answers takes more than half of the due time. It guards against
   // jams, in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
-    const Workload& w = workloads_[v.workload];
     // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is
     // well.
     if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out)
       return;
-    // A large one takes long by itself: where its size is told, that is no sign of a queue.
-    const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
-    const bool late = e.ending != Ending::succeeded ||
-                      static_cast<double>(e.took) > kSlowAt * static_cast<double>(w.due_time) * size;
+    const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
@@ -513,6 +534,13 @@
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
 
+  // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign of
+  // a queue.
+  Tenths slow_after(const Invocation& v) const {
+    const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
+    return static_cast<Tenths>(kSlowAt * static_cast<double>(workloads_[v.workload].due_time) * size);
+  }
+
   // What an invocation of this workload is worth for each unit of the backends' time.
   double density(const Invocation& v) const {
     return workloads_[v.workload].billing_value / usual_[v.workload];
@@ -600,6 +628,7 @@
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation);
+        else if (v.copy_at > 0 && v.copy_at <= now_) copy(d.invocation);
       }
     }
   }
