--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -68,7 +68,7 @@
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
-constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
+constexpr double kJamShare = 0.4;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr double kZoneBend = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
