--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -68,16 +68,19 @@
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
-constexpr double kJamShare = 0.4;  // and the limit of the node settles at this share
+constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr double kZoneBend = 4;
+constexpr double kZoneBend = 4, kPrior = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
 // How long successes took beside what is usual for their workload, as a mean of logarithms: a few answers tell
 // of a group of backends what would take a long time to learn of each.
 struct Pace {
   Ring<16> sum, count;
-  double slowness(Tenths now) { return sum.total(now) / (count.total(now) + 8); }
+  double slowness(Tenths now, double expected = 0) {
+    const double n = count.total(now);
+    return n > 0 ? (sum.total(now) + kPrior * expected) / (n + kPrior) : expected;
+  }
 };
 
 struct Backend {
@@ -90,6 +93,7 @@
   int out = 0;            // this node's own hand-offs in flight
   double limit = 0;       // how many of them may be in flight
   Ring<16> good, bad;     // how hand-offs ended here lately
+  Pace pace;
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -173,6 +177,7 @@
         b.bad.set_span(kSecond * 2);
         b.good.clear();
         b.bad.clear();
+        b.pace = {};
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
@@ -447,8 +452,9 @@
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
   double pull(Index n) {
-    const Backend& b = backends_[n];
-    const double pace = b.kind < kinds_.size() ? std::exp(fastest_ - kind_slowness_[b.kind]) : 1;
+    Backend& b = backends_[n];
+    const double group = b.kind < kinds_.size() ? kind_slowness_[b.kind] : 0;
+    const double pace = std::min(1.0, std::exp(fastest_ - b.pace.slowness(now_, group)));
     return std::max(1e-3, b.weight * warmth(b) * pace);
   }
 
@@ -456,14 +462,14 @@
     return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
   }
 
-  void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
+  void learn_pace(Backend& b, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
     // What failed took as long as its client would wait.
     const Tenths took = e.ending == Ending::succeeded ? e.took : workloads_[v.workload].time_limit;
     const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
     const double slow = std::log(std::max(1.0, static_cast<double>(took)) / std::max(1.0, usual));
     if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
-    for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
+    for (Pace* p : {&b.pace, &kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
       p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
     fastest_ = 1e9;
     for (std::size_t k = 0; k < kinds_.size(); ++k) {
