--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,17 +70,14 @@
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr double kZoneBend = 4, kPrior = 4;
+constexpr double kZoneBend = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
 // How long successes took beside what is usual for their workload, as a mean of logarithms: a few answers tell
 // of a group of backends what would take a long time to learn of each.
 struct Pace {
   Ring<16> sum, count;
-  double slowness(Tenths now, double expected = 0) {
-    const double n = count.total(now);
-    return n > 0 ? (sum.total(now) + kPrior * expected) / (n + kPrior) : expected;
-  }
+  double slowness(Tenths now) { return sum.total(now) / (count.total(now) + 8); }
 };
 
 struct Backend {
@@ -93,7 +90,6 @@
   int out = 0;            // this node's own hand-offs in flight
   double limit = 0;       // how many of them may be in flight
   Ring<16> good, bad;     // how hand-offs ended here lately
-  Pace pace;
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -177,7 +173,6 @@
         b.bad.set_span(kSecond * 2);
         b.good.clear();
         b.bad.clear();
-        b.pace = {};
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
@@ -452,9 +447,8 @@
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
   double pull(Index n) {
-    Backend& b = backends_[n];
-    const double group = b.kind < kinds_.size() ? kind_slowness_[b.kind] : 0;
-    const double pace = std::min(1.0, std::exp(fastest_ - b.pace.slowness(now_, group)));
+    const Backend& b = backends_[n];
+    const double pace = b.kind < kinds_.size() ? std::exp(fastest_ - kind_slowness_[b.kind]) : 1;
     return std::max(1e-3, b.weight * warmth(b) * pace);
   }
 
@@ -462,14 +456,14 @@
     return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
   }
 
-  void learn_pace(Backend& b, const Invocation& v, const HandOffEnded& e) {
+  void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
     // What failed took as long as its client would wait.
     const Tenths took = e.ending == Ending::succeeded ? e.took : workloads_[v.workload].time_limit;
     const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
     const double slow = std::log(std::max(1.0, static_cast<double>(took)) / std::max(1.0, usual));
     if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
-    for (Pace* p : {&b.pace, &kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
+    for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
       p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
     fastest_ = 1e9;
     for (std::size_t k = 0; k < kinds_.size(); ++k) {
@@ -534,8 +528,8 @@
     if (late) b.limit -= step * (1 - kLateShare);
     else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
-    if (late && full) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
-    if (!late && full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
+    if (late && full) node_limit_ -= std::min(0.1 * node_limit_, 1.0) * (1 - kJamShare);
+    if (!late && full) node_limit_ += std::min(0.1 * node_limit_, 1.0) * kJamShare;
     node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
