--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -453,7 +453,7 @@
   }
 
   double stay_chance() {
-    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
+    return std::clamp(0.6 * std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
   }
 
   void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
@@ -528,8 +528,8 @@
     if (late) b.limit -= step * (1 - kLateShare);
     else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
-    if (late && full) node_limit_ -= std::min(0.1 * node_limit_, 1.0) * (1 - kJamShare);
-    if (!late && full) node_limit_ += std::min(0.1 * node_limit_, 1.0) * kJamShare;
+    if (late && full) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
+    if (!late && full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
     node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
