--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -71,6 +71,8 @@
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr double kZoneBend = 4;
+constexpr int kSoundings = 2;
+constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
 // How long successes took beside what is usual for their workload, as a mean of logarithms: a few answers tell
@@ -90,6 +92,8 @@
   int out = 0;            // this node's own hand-offs in flight
   double limit = 0;       // how many of them may be in flight
   Ring<16> good, bad;     // how hand-offs ended here lately
+  int probes_out = 0;
+  Tenths probe_took = -1;  // what the last probe took; -1: not known
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -118,6 +122,9 @@
   Tenths arrived = 0, valid_until = 0;
   double work = 0;
   int out = 0;
+  int soundings = 0;
+  std::array<Index, 2> pair{kNone, kNone};  // whose probes are waited for
+  Tenths sound_until = 0;                   // how long; 0: not at all
   Tenths copy_at = 0;      // when a second copy may go out; 0: not at all
   std::uint32_t life = 0;  // tells this use of the index from earlier ones
   std::vector<HandOff> hand_offs;
@@ -129,7 +136,7 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)),
+        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)),
         least_limit_(kLeastTogether / std::max(1, s.nodes)),
         max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
         cold_from_(s.cold_from), warm_within_(s.warm_within),
@@ -234,7 +241,7 @@
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
-    if (e.final || e.ending == Ending::succeeded) v.held = false, recall_rest(e.invocation);
+    if (e.final || e.ending == Ending::succeeded) finish(e.invocation);
     if (v.held && v.out == 0 && !hand_off(e.invocation)) wait_or_answer(e.invocation);
     forget_if_done(e.invocation);
     serve_waiting();
@@ -246,14 +253,22 @@
 
   void on(const ClientGone& e) {
     if (e.invocation >= invocations_.size()) return;
-    invocations_[e.invocation].held = false;
-    stop_waiting(e.invocation);
-    recall_rest(e.invocation);
+    finish(e.invocation);
     forget_if_done(e.invocation);
   }
 
   void on(const TimerDue&) {}
-  void on(const ProbeEnded&) {}
+  void on(const ProbeEnded& e) {
+    if (e.backend >= backends_.size()) return;
+    Backend& b = backends_[e.backend];
+    b.probes_out = 0;
+    b.probe_took = e.succeeded ? e.took : workloads_[0].time_limit;
+    if (e.succeeded) usual_probe_ += (static_cast<double>(e.took) - usual_probe_) / 32;
+    for (std::size_t n = sounding_.size(); n-- > 0;) {
+      const auto [x, y] = invocations_[sounding_[n]].pair;
+      if (backends_[x].probe_took >= 0 && backends_[y].probe_took >= 0) settle(sounding_[n]);
+    }
+  }
 
   // ---- the rules
 
@@ -262,19 +277,19 @@
   void answer(Index i) {
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming) return;
-    v.held = false;
-    stop_waiting(i);
+    finish(i);
     // Where clients heed it, they are told to come back when a place is likely to be free.
     const Tenths retry_in = std::min(max_retry_in_, workloads_[v.workload].due_time / 8);
     if (may_reject(v)) actions_.push_back({Do::reject, i, kNone, 0, retry_in});
     else actions_.push_back({Do::give_up, i, kNone, 0, 0});
-    recall_rest(i);
     forget_if_done(i);
   }
 
-  // What is still out for an invocation that is finished is called back: some backends then stop its work.
-  void recall_rest(Index i) {
-    const Invocation& v = invocations_[i];
+  // Nothing is sent for a finished invocation; what is still out is called back: some backends then stop its work.
+  void finish(Index i) {
+    Invocation& v = invocations_[i];
+    v.held = false;
+    stop_waiting(i);
     for (std::size_t n = 0; n < v.hand_offs.size(); ++n)
       if (may_recall_ && !v.streaming && v.hand_offs[n].ran == Ran::in_flight)
         actions_.push_back({Do::recall, i, kNone, static_cast<int>(n), 0});
@@ -374,8 +389,15 @@
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
     if (total_out_ + uniform() >= node_limit_) return false;  // below one in flight, chance gives the fraction
-    const Index to = better_of_two(v);
-    if (to == kNone) return false;
+    Index a = kNone, b = kNone;
+    if (!draw_two(v, a, b)) return false;
+    if (worth_sounding(v, a, b)) sound(i, a, b);
+    else place(i, better_of(a, b));
+    return true;
+  }
+
+  void place(Index i, Index to) {
+    Invocation& v = invocations_[i];
     stop_waiting(i);
     ++total_out_;
     started_.add(now_, 1);
@@ -389,7 +411,6 @@
       v.copy_at = now_ + slow_after(v);
       at(v.copy_at, i);
     }
-    return true;
   }
 
   // A second copy goes out where the first is slow at a backend of which this node knows no recent success:
@@ -404,22 +425,60 @@
     hand_off(i);
   }
 
-  // Random with Two Choices among the ready: fewer of this node's own in flight, a coin toss on ties.
-  Index better_of_two(const Invocation& v) {
+  // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties.
+  Index better_of(Index a, Index b) {
+    if (b == kNone) return a;
+    if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
+    return uniform() < 0.5 ? a : b;
+  }
+
+  // Two fresh random ready ones; b stays kNone where only one is ready.
+  bool draw_two(const Invocation& v, Index& a, Index& b) {
     // The own zone first, while two backends there have room to spare: links between zones cost time and money.
-    Index a = kNone, b = kNone;
     if (own_zone_.size() >= 2 && uniform() < stay_chance()) {
       a = draw_ready(v, own_zone_, kNone, kRoomNear);
       if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
     }
-    if (b == kNone) {
-      a = draw_ready(v, running_, kNone, 1);
-      if (a == kNone) return kNone;
-      b = draw_ready(v, running_, a, 1);
-      if (b == kNone) return a;
+    if (b != kNone) return true;
+    a = draw_ready(v, running_, kNone, 1);
+    if (a != kNone) b = draw_ready(v, running_, a, 1);
+    return a != kNone;
+  }
+
+  // Where the counts tell nothing of either and probes are allowed, a probe tells whether a backend is ready:
+  // one that takes longer than they usually do, or too long, has work of other nodes waiting.
+  bool worth_sounding(const Invocation& v, Index a, Index b) {
+    if (!may_probe_ || b == kNone || v.soundings >= kSoundings || backends_[a].out + backends_[b].out > 0)
+      return false;
+    const double out = started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
+    return uniform() > kTelling * out;
+  }
+  void sound(Index i, Index a, Index b) {
+    Invocation& v = invocations_[i];
+    stop_waiting(i);
+    ++v.soundings;
+    v.pair = {a, b};
+    v.sound_until = now_ + std::max(margin_ * 2, workloads_[v.workload].due_time / 16);
+    at(v.sound_until, i);
+    sounding_.push_back(i);
+    for (Index n : v.pair) {
+      Backend& x = backends_[n];
+      x.probe_took = -1;
+      if (x.probes_out++ == 0) actions_.push_back({Do::probe, kNone, n, 0, 0});
     }
-    if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
-    return uniform() < 0.5 ? a : b;
+  }
+  void settle(Index i) {
+    Invocation& v = invocations_[i];
+    sounding_.erase(std::find(sounding_.begin(), sounding_.end(), i));
+    v.sound_until = 0;
+    const auto [a, b] = v.pair;
+    const auto quick = [this](Index n) {
+      const Tenths took = backends_[n].probe_took;
+      return took >= 0 && static_cast<double>(took) <= usual_probe_;
+    };
+    const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
+    if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready)) return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
+    if (!hand_off(i)) wait_or_answer(i);
   }
 
   // Draws one, then tests it, and draws again: the same chances as a draw among all ready ones, at a cost that
@@ -453,7 +512,7 @@
   }
 
   double stay_chance() {
-    return std::clamp(0.6 * std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
+    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
   }
 
   void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
@@ -578,6 +637,10 @@
   }
 
   void stop_waiting(Index i) {
+    if (invocations_[i].sound_until > 0) {
+      invocations_[i].sound_until = 0;
+      sounding_.erase(std::find(sounding_.begin(), sounding_.end(), i));
+    }
     if (!invocations_[i].waiting) return;
     invocations_[i].waiting = false;
     waiting_.erase(std::find(waiting_.begin(), waiting_.end(), i));
@@ -628,6 +691,7 @@
       } else if (invocations_[d.invocation].life == d.life) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation);
+        else if (v.sound_until > 0 && v.sound_until <= now_) settle(d.invocation);
         else if (v.copy_at > 0 && v.copy_at <= now_) copy(d.invocation);
       }
     }
@@ -640,7 +704,7 @@
 
   std::knuth_b chance_;
   const int max_hand_offs_;
-  const bool second_copies_, may_recall_;
+  const bool second_copies_, may_recall_, may_probe_;
   const Index zone_;
   const double first_limit_, least_limit_;
   const Tenths max_retry_in_;  // 0 where clients don't heed it
@@ -657,7 +721,8 @@
   std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> running_, own_zone_, waiting_;
+  std::vector<Index> running_, own_zone_, waiting_, sounding_;
+  double usual_probe_ = 0;
   double top_weight_ = 0;
   std::int64_t measured_at_ = -1;
   struct Warm {
--- a/src/decide.h
+++ b/src/decide.h
@@ -122,6 +122,7 @@
   recall,     // invocation, number
   set_timer,  // at
   watch,      // the list, from here on
+  probe,      // backend
   forget,     // invocation: the index may be used again
 };
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -320,6 +320,7 @@
     case Do::recall: return line("RECALL", ids.handle(action.invocation), std::to_string(action.number));
     case Do::set_timer: return line("ARM", time, "0");
     case Do::watch: return line("TAIL", "1");
+    case Do::probe: return line("SOUND_OUT", ids.backend_id(action.backend));
     case Do::forget: return;
   }
 }
