--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -474,7 +474,7 @@
     const auto [a, b] = v.pair;
     const auto quick = [this](Index n) {
       const Tenths took = backends_[n].probe_took;
-      return took >= 0 && static_cast<double>(took) <= usual_probe_;
+      return took >= 0 && static_cast<double>(took) <= 0.6 * usual_probe_;
     };
     const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
     if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready)) return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
