--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -435,7 +435,7 @@
   // Two fresh random ready ones; b stays kNone where only one is ready.
   bool draw_two(const Invocation& v, Index& a, Index& b) {
     // The own zone first, while two backends there have room to spare: links between zones cost time and money.
-    if (own_zone_.size() >= 2 && uniform() < stay_chance()) {
+    if (own_zone_.size() >= 2 && v.soundings == 0 && uniform() < stay_chance()) {
       a = draw_ready(v, own_zone_, kNone, kRoomNear);
       if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
     }
@@ -474,7 +474,7 @@
     const auto [a, b] = v.pair;
     const auto quick = [this](Index n) {
       const Tenths took = backends_[n].probe_took;
-      return took >= 0 && static_cast<double>(took) <= 0.6 * usual_probe_;
+      return took >= 0 && static_cast<double>(took) <= usual_probe_;
     };
     const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
     if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready)) return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
