--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -589,7 +589,7 @@
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     if (late && full) node_limit_ -= std::min(kStep * node_limit_, 1.0) * (1 - kJamShare);
     if (!late && full) node_limit_ += std::min(kStep * node_limit_, 1.0) * kJamShare;
-    node_limit_ = std::max({1.0, node_limit_, least_limit_ * static_cast<double>(running_.size())});
+    node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
 
