--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -72,6 +72,8 @@
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr double kZoneBend = 4;
 constexpr int kSoundings = 2;
+constexpr std::size_t kLeastMembers = 8;
+constexpr double kMeet = 3;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
@@ -94,6 +96,7 @@
   Ring<16> good, bad;     // how hand-offs ended here lately
   int probes_out = 0;
   Tenths probe_took = -1;  // what the last probe took; -1: not known
+  bool member = false;
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
   Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
@@ -146,6 +149,7 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
+    arrived_.set_span(kSecond);
     good_.set_span(kSecond), bad_.set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
@@ -192,17 +196,21 @@
       b.weight = e.weight;
       b.started_at = e.started_at;
     }
-    running_.clear(), own_zone_.clear();
+    running_.clear();
+    std::erase_if(members_, [this](Index n) { return backends_[n].told_to_stop; });
     top_weight_ = 0;
     for (Index n = 0; n < backends_.size(); ++n) {
       const Backend& b = backends_[n];
-      if (b.told_to_stop) continue;
+      if (b.told_to_stop) {
+        backends_[n].member = false;
+        continue;
+      }
       running_.push_back(n);
-      if (b.zone == zone_) own_zone_.push_back(n);
       top_weight_ = std::max(top_weight_, b.weight);
     }
     if (node_limit_ <= 0) node_limit_ = first_limit_ * static_cast<double>(running_.size());
     measured_at_ = -1;
+    fill_members();
     serve_waiting();
   }
 
@@ -221,6 +229,8 @@
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
     at(v.valid_until - margin_, a.invocation);
+    arrived_.add(now_, 1);
+    fill_members();
     if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
 
@@ -424,6 +434,7 @@
     Backend& b = backends_[v.hand_offs.back().backend];
     ++b.bad_run;
     b.bad.add(now_, 1), bad_.add(now_, 1);
+    leave(v.hand_offs.back().backend);
     hand_off(i);
   }
 
@@ -442,8 +453,9 @@
       if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
     }
     if (b != kNone) return true;
-    a = draw_ready(v, running_, kNone, 1);
-    if (a != kNone) b = draw_ready(v, running_, a, 1);
+    a = draw_ready(v, members_, kNone, 1);
+    if (a != kNone) b = draw_ready(v, members_, a, 1);
+    if (a == kNone && members_.size() < running_.size()) a = draw_ready(v, running_, kNone, 1);
     return a != kNone;
   }
 
@@ -486,7 +498,7 @@
   // Draws one, then tests it, and draws again: the same chances as a draw among all ready ones, at a cost that
   // does not grow with the fleet. Only where few are ready are all of them looked at.
   Index draw_ready(const Invocation& v, const std::vector<Index>& from, Index but, double part) {
-    for (int tries = 0; tries < kDraws; ++tries) {
+    for (int tries = 0; tries < kDraws && !from.empty(); ++tries) {
       const Index n = from[std::min(from.size() - 1, static_cast<std::size_t>(uniform() * from.size()))];
       if (n != but && uniform() * top_weight_ < pull(n) && ready(v, n, part)) return n;
     }
@@ -533,6 +545,40 @@
     }
   }
 
+  // ---- the members
+
+  // A node that sees little keeps to so few backends that it meets each every few seconds: it then knows them
+  // and holds few connections. One that does badly is left for another drawn at random.
+  void fill_members() {
+    const auto want = std::min<std::size_t>(
+        running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(arrived_.total(now_) / 8 * kMeet)));
+    if (members_.size() >= want) return;
+    while (members_.size() < want) {
+      Index n = kNone;
+      for (int tries = 0; tries < kDraws && n == kNone; ++tries) {
+        const Index drawn = running_[static_cast<std::size_t>(uniform() * running_.size()) % running_.size()];
+        if (!backends_[drawn].member && trusted(backends_[drawn])) n = drawn;
+      }
+      for (std::size_t k = 0; k < running_.size() && n == kNone; ++k)
+        if (!backends_[running_[k]].member) n = running_[k];
+      backends_[n].member = true;
+      members_.push_back(n);
+    }
+    list_own_zone();
+  }
+  void leave(Index n) {
+    if (!backends_[n].member || members_.size() >= running_.size()) return;
+    backends_[n].member = false;
+    members_.erase(std::find(members_.begin(), members_.end(), n));
+    fill_members();
+    list_own_zone();
+  }
+  void list_own_zone() {
+    own_zone_.clear();
+    for (Index n : members_)
+      if (backends_[n].zone == zone_) own_zone_.push_back(n);
+  }
+
   // ---- health
 
   void learn_health(Backend& b, const Invocation& v, const HandOffEnded& e) {
@@ -551,6 +597,7 @@
     // doubt, or the first where this node hears of it too rarely to know better.
     if (late && b.bad_run < 3 && b.good.total(now_, memory()) >= 1) return;
     b.bad.add(now_, 1), bad_.add(now_, 1);
+    leave(static_cast<Index>(&b - backends_.data()));
   }
 
   // How far back is remembered, in spans: longer where this node seldom meets one backend.
@@ -723,7 +770,7 @@
   std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> running_, own_zone_, waiting_, sounding_;
+  std::vector<Index> running_, own_zone_, members_, waiting_, sounding_;
   double usual_probe_ = 0;
   double top_weight_ = 0;
   std::int64_t measured_at_ = -1;
@@ -736,6 +783,7 @@
   std::vector<Pace> kinds_;
   std::vector<double> kind_slowness_;
   double fastest_ = 0;
+  Ring<8> arrived_;
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;   // learned from all answers together
