--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -254,6 +254,8 @@
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
     if (e.final || e.ending == Ending::succeeded) finish(e.invocation);
+    // Backends accept only so many connections, of all nodes together.
+    if (b.out == 0 && !b.member) actions_.push_back({Do::close, kNone, h.backend, 0, 0});
     if (v.held && v.out == 0 && !hand_off(e.invocation)) wait_or_answer(e.invocation);
     forget_if_done(e.invocation);
     serve_waiting();
@@ -567,7 +569,7 @@
     list_own_zone();
   }
   void leave(Index n) {
-    if (!backends_[n].member || members_.size() >= running_.size()) return;
+    if (!backends_[n].member || members_.size() >= running_.size() || trusted(backends_[n])) return;
     backends_[n].member = false;
     members_.erase(std::find(members_.begin(), members_.end(), n));
     fill_members();
--- a/src/decide.h
+++ b/src/decide.h
@@ -123,6 +123,7 @@
   set_timer,  // at
   watch,      // the list, from here on
   probe,      // backend
+  close,      // backend: idle connections to it
   forget,     // invocation: the index may be used again
 };
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -321,6 +321,7 @@
     case Do::set_timer: return line("ARM", time, "0");
     case Do::watch: return line("TAIL", "1");
     case Do::probe: return line("SOUND_OUT", ids.backend_id(action.backend));
+    case Do::close: return line("RELEASE", ids.backend_id(action.backend));
     case Do::forget: return;
   }
 }
