--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -165,7 +165,7 @@
   }
 
  private:
-  static constexpr double kColdRoom = 0.45;
+  static constexpr double kColdRoom = 0.7;
 
   // ---- events
 
