--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -81,9 +81,7 @@
 // of a group of backends what would take a long time to learn of each.
 struct Pace {
   Ring<16> sum, count;
-  double slowness(Tenths now, double expected, double doubt) {
-    return (sum.total(now) + doubt * expected) / (count.total(now) + doubt);
-  }
+  double slowness(Tenths now) { return sum.total(now) / (count.total(now) + 8); }
 };
 
 struct Backend {
@@ -98,7 +96,6 @@
   Ring<16> good, bad;     // how hand-offs ended here lately
   int probes_out = 0;
   Tenths probe_took = -1;  // what the last probe took; -1: not known
-  Pace pace;
   bool member = false;
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
@@ -187,7 +184,6 @@
         b.bad.set_span(kSecond * 2);
         b.good.clear();
         b.bad.clear();
-        b.pace = {};
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
@@ -529,28 +525,27 @@
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
   double pull(Index n) {
-    Backend& b = backends_[n];
-    const double kind = b.kind < kinds_.size() ? kind_slowness_[b.kind] : 0;
-    const double pace = std::min(1.0, std::exp(fastest_ - b.pace.slowness(now_, kind, 4)));
+    const Backend& b = backends_[n];
+    const double pace = b.kind < kinds_.size() ? std::exp(fastest_ - kind_slowness_[b.kind]) : 1;
     return std::max(1e-3, b.weight * warmth(b) * pace);
   }
 
   double stay_chance() {
-    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_, 0, 8) - near_.slowness(now_, 0, 8))), 0.0, 0.95);
+    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
   }
 
-  void learn_pace(Backend& b, const Invocation& v, const HandOffEnded& e) {
+  void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
     // What failed took as long as its client would wait.
     const Tenths took = e.ending == Ending::succeeded ? e.took : workloads_[v.workload].time_limit;
     const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
     const double slow = std::log(std::max(1.0, static_cast<double>(took)) / std::max(1.0, usual));
     if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
-    for (Pace* p : {&b.pace, &kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
+    for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
       p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
     fastest_ = 1e9;
     for (std::size_t k = 0; k < kinds_.size(); ++k) {
-      kind_slowness_[k] = kinds_[k].slowness(now_, 0, 8);
+      kind_slowness_[k] = kinds_[k].slowness(now_);
       fastest_ = std::min(fastest_, kind_slowness_[k]);
     }
   }
