--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -149,7 +149,7 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    arrived_.set_span(kSecond);
+    handed_.set_span(kSecond);
     good_.set_span(kSecond), bad_.set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
@@ -228,7 +228,6 @@
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
     at(v.valid_until - margin_, a.invocation);
-    arrived_.add(now_, 1);
     fill_members();
     if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
@@ -418,6 +417,7 @@
     stop_waiting(i);
     ++total_out_;
     started_.add(now_, 1);
+    handed_.add(now_, 1);
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
@@ -556,7 +556,7 @@
   // and holds few connections. One that does badly is left for another drawn at random.
   void fill_members() {
     const auto want = std::min<std::size_t>(
-        running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(arrived_.total(now_) / 8 * kMeet)));
+        running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(handed_.total(now_) / 8 * kMeet)));
     if (members_.size() >= want) return;
     while (members_.size() < want) {
       Index n = kNone;
@@ -788,7 +788,7 @@
   std::vector<Pace> kinds_;
   std::vector<double> kind_slowness_;
   double fastest_ = 0;
-  Ring<8> arrived_;
+  Ring<8> handed_;
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;   // learned from all answers together
