--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -72,8 +72,8 @@
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr double kZoneBend = 4;
 constexpr int kSoundings = 2;
-constexpr std::size_t kLeastMembers = 8;
-constexpr double kMeet = 1.5;
+constexpr std::size_t kLeastMembers = 4;
+constexpr double kMeet = 0.8;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
