--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -73,7 +73,7 @@
 constexpr double kZoneBend = 4;
 constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
-constexpr double kMeet = 0.8;
+constexpr double kSpread = 4;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
@@ -149,7 +149,6 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    handed_.set_span(kSecond);
     good_.set_span(kSecond), bad_.set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
@@ -417,7 +416,7 @@
     stop_waiting(i);
     ++total_out_;
     started_.add(now_, 1);
-    handed_.add(now_, 1);
+    usual_out_ += (total_out_ - usual_out_) / 32;
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
     ++v.out;
@@ -556,7 +555,7 @@
   // and holds few connections. One that does badly is left for another drawn at random.
   void fill_members() {
     const auto want = std::min<std::size_t>(
-        running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(handed_.total(now_) / 8 * kMeet)));
+        running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(kSpread * usual_out_)));
     if (members_.size() >= want) return;
     while (members_.size() < want) {
       Index n = kNone;
@@ -788,7 +787,7 @@
   std::vector<Pace> kinds_;
   std::vector<double> kind_slowness_;
   double fastest_ = 0;
-  Ring<8> handed_;
+  double usual_out_ = 0;  // in flight from this node when it hands one out
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;   // learned from all answers together
