--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -73,7 +73,7 @@
 constexpr double kZoneBend = 4;
 constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
-constexpr double kSpread = 4;
+constexpr double kSpread = 2.5;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
