--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -648,7 +648,8 @@
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
-    if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare);
+    const double anchor = std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
+    if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     // A lost connection says nothing of how much a backend can take; held against it, it would keep it small once it is well.
     if (e.ending == Ending::unreachable || e.ending == Ending::broken) return;
