--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -586,7 +586,7 @@
     list_own_zone();
   }
   void leave(Index n) {
-    if (!backends_[n].member || members_.size() >= running_.size() || trusted(backends_[n])) return;
+    if (!backends_[n].member || members_.size() >= running_.size() || trusted(backends_[n], 0.5)) return;
     backends_[n].member = false;
     members_.erase(std::find(members_.begin(), members_.end(), n));
     fill_members();
@@ -628,13 +628,13 @@
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
-  bool trusted(Backend& b) {
+  bool trusted(Backend& b, double least = 0) {
     const int last = memory();
     const double bad = b.bad.total(now_, last);
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(b.good.total(now_, last) + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
-    const double fleet = (good_.total(now_) + 1) / (good_.total(now_) + bad_.total(now_) + 1);
+    const double all = good_.total(now_) + 1, fleet = std::max(least, all / (all + bad_.total(now_)));
     return x > kTrust * fleet * (x + y);
   }
 
