Where new connections fail, only backends with an open one are ready

So what a node learns of new connections is pooled, and while they fail it keeps to those it has, with a try drawn now and then; closing connections is taken out again.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -96,6 +96,8 @@
   Ring<16> good, bad;     // how hand-offs ended here lately
   int probes_out = 0;
   Tenths probe_took = -1;  // what the last probe took; -1: not known
+  int idle = 0;            // open connections of this node that nothing uses
+  Tenths idle_until = 0;   // when they close by themselves
   bool running = false, member = false;
   int bad_run = 0;        // how many of the last ones in a row ended badly
   Ring<16> done;          // work this node got done here
@@ -111,6 +113,7 @@
   Tenths sent = 0;
   double work = 0;
   int out_before = 0;
+  bool new_connection = false;
   Ran ran = Ran::in_flight;
 };
 
@@ -145,11 +148,11 @@
         cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
-        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), workloads_(s.workloads) {
+        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), keepalive_(s.keepalive), workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    good_.set_span(kSecond), bad_.set_span(kSecond);
+    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_}) r->set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -250,13 +253,12 @@
     learn_limit(b, h, v, e);
     learn_pace(b, v, e);
     learn_health(b, v, e);
+    learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
     if (e.final || e.ending == Ending::succeeded) finish(e.invocation);
-    // Backends accept only so many connections, of all nodes together.
-    if (b.out == 0 && !b.member) actions_.push_back({Do::close, kNone, h.backend, 0, 0});
     if (v.held && v.out == 0 && !hand_off(e.invocation)) wait_or_answer(e.invocation);
     forget_if_done(e.invocation);
     serve_waiting();
@@ -422,7 +424,8 @@
     started_.add(now_, 1);
     usual_out_ += (total_out_ - usual_out_) / 32;
     Backend& b = backends_[to];
-    v.hand_offs.push_back({to, now_, v.work, b.out, Ran::in_flight});
+    v.hand_offs.push_back({to, now_, v.work, b.out, !connected(b), Ran::in_flight});
+    if (connected(b)) --b.idle;
     ++v.out;
     ++b.out;
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
@@ -522,7 +525,7 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    return b.out < std::max(1.0, b.limit * part) && trusted(b) && may_go_to(b) && may_repeat_at(v, b) &&
+    return b.out < std::max(1.0, b.limit * part) && trusted(b) && connects(b) && may_go_to(b) && may_repeat_at(v, b) &&
            within_cold_budget(b, weighed(v));
   }
 
@@ -619,6 +622,21 @@
     leave(static_cast<Index>(&b - backends_.data()));
   }
 
+  // Whether connections come up at all is learned from all new ones together: where they don't, only backends
+  // with an open one are ready, and a try now and then (i33b657).
+  void learn_connects(Backend& b, const HandOff& h, Ending ending) {
+    const bool answered =
+        ending == Ending::succeeded || ending == Ending::error || ending == Ending::turned_away;
+    if (answered) ++b.idle, b.idle_until = now_ + keepalive_;
+    if (ending == Ending::unreachable || ending == Ending::broken) b.idle = 0;
+    if (!h.new_connection || ending == Ending::never_sent || ending == Ending::recalled) return;
+    (ending == Ending::unreachable ? refused_ : connected_).add(now_, 1);
+  }
+  bool connected(const Backend& b) const { return b.idle > 0 && now_ < b.idle_until; }
+  bool connects(const Backend& b) {
+    return connected(b) || likely(connected_.total(now_), refused_.total(now_), 0.5);
+  }
+
   // How far back is remembered, in spans: longer where this node seldom meets one backend.
   int memory() {
     return static_cast<int>(
@@ -629,13 +647,14 @@
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
   bool trusted(Backend& b, double least = 0) {
-    const int last = memory();
-    const double bad = b.bad.total(now_, last);
+    const double all = good_.total(now_) + 1, fleet = std::max(least, all / (all + bad_.total(now_)));
+    return likely(b.good.total(now_, memory()), b.bad.total(now_, memory()), kTrust * fleet);
+  }
+  bool likely(double good, double bad, double least) {
     if (bad < 0.5) return true;
-    const double x = std::gamma_distribution<double>(b.good.total(now_, last) + 1)(chance_);
+    const double x = std::gamma_distribution<double>(good + 1)(chance_);
     const double y = std::gamma_distribution<double>(bad + 1)(chance_);
-    const double all = good_.total(now_) + 1, fleet = std::max(least, all / (all + bad_.total(now_)));
-    return x > kTrust * fleet * (x + y);
+    return x > least * (x + y);
   }
 
   // ---- limits and waiting
@@ -781,7 +800,7 @@
   const double cold_from_;
   const Tenths warm_within_, fall_bucket_;
   const double cold_multiple_;
-  const Tenths ask_gap_;
+  const Tenths ask_gap_, keepalive_;
   const std::vector<Workload> workloads_;
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
@@ -804,6 +823,7 @@
   std::vector<double> kind_slowness_;
   double fastest_ = 0;
   double usual_out_ = 0;  // in flight from this node when it hands one out
+  Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;   // learned from all answers together
--- a/src/decide.h
+++ b/src/decide.h
@@ -45,6 +45,7 @@
   Tenths max_retry_in = 0;
   Tenths tick = 10;
   Tenths connect_timeout = 0;
+  Tenths keepalive = 0;  // idle connections close after this
   Tenths drain_grace = 0;
   Tenths ask_within = 0;
   Tenths fall_window = 0;
@@ -123,7 +124,6 @@
   set_timer,  // at
   watch,      // the list, from here on
   probe,      // backend
-  close,      // backend: idle connections to it
   forget,     // invocation: the index may be used again
 };
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -137,6 +137,7 @@
       real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
   s.tick = pairs.span("tick");
   s.connect_timeout = pairs.span("bounds.connect-timeout");
+  s.keepalive = tenths(pairs.text_or("bounds.keepalive", "0"), "bounds.keepalive");
   s.drain_grace = pairs.span("rules.drain-grace");
   s.ask_within = pairs.span("rules.ask-within");
   s.fall_window = pairs.span("rules.fall");
@@ -321,7 +322,6 @@
     case Do::set_timer: return line("ARM", time, "0");
     case Do::watch: return line("TAIL", "1");
     case Do::probe: return line("SOUND_OUT", ids.backend_id(action.backend));
-    case Do::close: return line("RELEASE", ids.backend_id(action.backend));
     case Do::forget: return;
   }
 }
