--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -663,15 +663,16 @@
   // limit settles where a small share of the answers takes more than half of the due time. It guards against
   // jams, in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
-    if (e.ending == Ending::error || e.ending == Ending::recalled || e.ending == Ending::never_sent) return;
+    // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is
+    // well.
+    if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out)
+      return;
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     const double anchor = std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
     if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
-    // A lost connection says nothing of how much a backend can take; held against it, it would keep it small once it is well.
-    if (e.ending == Ending::unreachable || e.ending == Ending::broken) return;
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     if (late) b.limit -= step * (1 - kLateShare);
