--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -410,6 +410,7 @@
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
     if (total_out_ + uniform() >= node_limit_) return false;  // below one in flight, chance gives the fraction
+    try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
     if (worth_sounding(v, a, b)) sound(i, a, b);
@@ -525,7 +526,7 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    return b.out < std::max(1.0, b.limit * part) && trusted(b) && connects(b) && may_go_to(b) && may_repeat_at(v, b) &&
+    return b.out < std::max(1.0, b.limit * part) && trusted(b) && (try_new_ || connected(b)) && may_go_to(b) && may_repeat_at(v, b) &&
            within_cold_budget(b, weighed(v));
   }
 
@@ -633,9 +634,6 @@
     (ending == Ending::unreachable ? refused_ : connected_).add(now_, 1);
   }
   bool connected(const Backend& b) const { return b.idle > 0 && now_ < b.idle_until; }
-  bool connects(const Backend& b) {
-    return connected(b) || likely(connected_.total(now_), refused_.total(now_), 0.5);
-  }
 
   // How far back is remembered, in spans: longer where this node seldom meets one backend.
   int memory() {
@@ -663,16 +661,15 @@
   // limit settles where a small share of the answers takes more than half of the due time. It guards against
   // jams, in which every backend is busy with work whose answer comes too late.
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
-    // Errors say nothing of how much a backend can take; held against it, they would keep it small once it is
-    // well.
-    if (e.ending != Ending::succeeded && e.ending != Ending::turned_away && e.ending != Ending::timed_out)
-      return;
+    if (e.ending == Ending::error || e.ending == Ending::recalled || e.ending == Ending::never_sent) return;
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     const double anchor = std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
     if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
+    // A lost connection says nothing of how much a backend can take; held against it, it would keep it small once it is well.
+    if (e.ending == Ending::unreachable || e.ending == Ending::broken) return;
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     if (late) b.limit -= step * (1 - kLateShare);
@@ -824,6 +821,7 @@
   std::vector<double> kind_slowness_;
   double fastest_ = 0;
   double usual_out_ = 0;  // in flight from this node when it hands one out
+  bool try_new_ = true;  // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
   Ring<8> good_, bad_;  // how all hand-offs ended lately
   int total_out_ = 0;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -49,6 +49,7 @@
 struct Way {  // how a backend answers by itself
   bool silent = false;
   bool lost = false;  // not even a time-out is told
+  bool open = false;  // answers on open connections; new ones fail
   Ending ending = Ending::succeeded;
   Tenths after = 0;
 };
@@ -77,7 +78,8 @@
     const std::string& how = l.words.back();
     const bool silent = how == "silent" || how == "lost";
     for (std::size_t i = 1; i + 1 < l.words.size(); ++i)
-      ways_[l.words[i]] = {silent, how == "lost", silent ? Ending::succeeded : kEndings.at(how),
+      ways_[l.words[i]] = {silent, how == "lost", how == "open",
+                           silent || how == "open" ? Ending::succeeded : kEndings.at(how),
                            l.span("after", 10)};
   }
 
@@ -102,6 +104,7 @@
     s_.second_copies = !l.has("no-copies");
     s_.tick = kMs;
     s_.connect_timeout = 250 * kMs;
+    s_.keepalive = 30000 * kMs;
     s_.drain_grace = l.span("grace", 500);
     s_.ask_within = l.span("ask-within", 10000);
     s_.fall_window = l.span("fall", 1000);
@@ -167,6 +170,7 @@
     HandOffEnded e{index(invocations_, name), number, ending, final || ending == Ending::succeeded, 0, -1};
     e.took = now_ - sent_.at({name, number});
     ended_.insert({name, number});
+    if (ending == Ending::succeeded) ++idle_[out.backend];
     tell(e);
   }
 
@@ -230,8 +234,12 @@
       REQUIRE(a.at <= limits_.at(name));
       auto way = ways_.find(backend);
       if (way == ways_.end() || !way->second.lost) later_.push_back({a.at, name, number, Ending::timed_out});
+      const bool fails = way != ways_.end() && way->second.open && idle_[backend] == 0;
+      if (idle_[backend] > 0) --idle_[backend];
+      if (fails) ++counts_["unconnected"];
       if (way != ways_.end() && !way->second.silent)
-        later_.push_back({now_ + way->second.after, name, number, way->second.ending});
+        later_.push_back(
+            {now_ + way->second.after, name, number, fails ? Ending::unreachable : way->second.ending});
       ++counts_[backend];
       seen_.push_back("hand-off " + name + " " + backend);
     } else {
@@ -282,7 +290,7 @@
   std::set<std::pair<std::string, int>> ended_;
   std::set<std::string> answered_;
   std::map<std::string, Way> ways_;
-  std::map<std::string, int> counts_;
+  std::map<std::string, int> counts_, idle_;
   std::multiset<Tenths> timers_;
   std::vector<Later> later_;
   std::deque<std::string> seen_;
