--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,12 +34,6 @@
     turn(now);
     return std::max(0.0, total_);
   }
-  double total(Tenths now, int last) {  // over the last few spans only
-    turn(now);
-    double sum = 0;
-    for (int n = 0; n < last && total_ > 0; ++n) sum += sums_[(newest_ - n + N) % N];
-    return sum;
-  }
   void clear() {
     sums_.fill(0);
     total_ = 0;
@@ -70,20 +64,12 @@
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.25;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr double kZoneBend = 4;
 constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
 constexpr double kSpread = 2.5;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
-// How long successes took beside what is usual for their workload, as a mean of logarithms: a few answers tell
-// of a group of backends what would take a long time to learn of each.
-struct Pace {
-  Ring<16> sum, count;
-  double slowness(Tenths now) { return sum.total(now) / (count.total(now) + 8); }
-};
-
 struct Backend {
   bool known = false;
   bool told_to_stop = true;  // draining, gone or not listed (yet)
@@ -91,9 +77,9 @@
   std::int64_t cell = -1;
   double weight = 1;
   Tenths started_at = 0;
-  int out = 0;            // this node's own hand-offs in flight
-  double limit = 0;       // how many of them may be in flight
-  Ring<16> good, bad;     // how hand-offs ended here lately
+  int out = 0;        // this node's own hand-offs in flight
+  double limit = 0;   // how many of them may be in flight
+  Ring<8> good, bad;  // how hand-offs ended here lately
   int probes_out = 0;
   Tenths probe_took = -1;  // what the last probe took; -1: not known
   int idle = 0;            // open connections of this node that nothing uses
@@ -131,8 +117,8 @@
   int soundings = 0;
   std::array<Index, 2> pair{kNone, kNone};  // whose probes are waited for
   Tenths sound_until = 0;                   // how long; 0: not at all
-  Tenths copy_at = 0;      // when a second copy may go out; 0: not at all
-  std::uint32_t life = 0;  // tells this use of the index from earlier ones
+  Tenths copy_at = 0;                       // when a second copy may go out; 0: not at all
+  std::uint32_t life = 0;                   // tells this use of the index from earlier ones
   std::vector<HandOff> hand_offs;
 };
 
@@ -142,13 +128,15 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone), first_limit_(kFirstTogether / std::max(1, s.nodes)),
+        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone),
+        first_limit_(kFirstTogether / std::max(1, s.nodes)),
         least_limit_(kLeastTogether / std::max(1, s.nodes)),
         max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
         cold_from_(s.cold_from), warm_within_(s.warm_within),
         // Half a bucket more than the window is counted, and some room is left for chance.
         fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
-        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), keepalive_(s.keepalive), workloads_(s.workloads) {
+        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), keepalive_(s.keepalive),
+        workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
@@ -182,8 +170,8 @@
         b.done.set_span(fall_bucket_ * 4);
         b.cold_sent.set_span(fall_bucket_);
         b.done.clear();
-        b.good.set_span(kSecond * 2);
-        b.bad.set_span(kSecond * 2);
+        b.good.set_span(kSecond);
+        b.bad.set_span(kSecond);
         b.good.clear();
         b.bad.clear();
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
@@ -251,7 +239,6 @@
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
     learn_limit(b, h, v, e);
-    learn_pace(b, v, e);
     learn_health(b, v, e);
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
@@ -302,7 +289,8 @@
     forget_if_done(i);
   }
 
-  // Nothing is sent for a finished invocation; what is still out is called back: some backends then stop its work.
+  // Nothing is sent for a finished invocation; what is still out is called back: some backends then stop its
+  // work.
   void finish(Index i) {
     Invocation& v = invocations_[i];
     v.held = false;
@@ -367,11 +355,13 @@
     return b.drawn;
   }
 
-  // A small one counts as an average one of its workload: told sizes are guesses, and a budget of work that let
-  // only small ones through sent three times as many of them, which pushed backends over (ia7167d, i5ba5dd).
+  // A small one counts as an average one of its workload: told sizes are guesses, and a budget of work that
+  // let only small ones through sent three times as many of them, which pushed backends over (ia7167d,
+  // i5ba5dd).
   double weighed(const Invocation& v) const { return std::max(v.work, usual_work_[v.workload]); }
 
-  // What this node gets done in a window on warm backends, by kind: summed once a bucket, not for each cold one.
+  // What this node gets done in a window on warm backends, by kind: summed once a bucket, not for each cold
+  // one.
   void measure_warm() {
     if (now_ / fall_bucket_ == measured_at_) return;
     measured_at_ = now_ / fall_bucket_;
@@ -409,7 +399,8 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
-    if (total_out_ + uniform() >= node_limit_) return false;  // below one in flight, chance gives the fraction
+    if (total_out_ + uniform() >= node_limit_)
+      return false;  // below one in flight, chance gives the fraction
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
@@ -431,7 +422,7 @@
     ++b.out;
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
-    if (second_copies_ && v.out == 1 && b.good.total(now_, memory()) < 1) {
+    if (second_copies_ && v.out == 1 && b.good.total(now_) < 1) {
       v.copy_at = now_ + slow_after(v);
       at(v.copy_at, i);
     }
@@ -459,8 +450,9 @@
 
   // Two fresh random ready ones; b stays kNone where only one is ready.
   bool draw_two(const Invocation& v, Index& a, Index& b) {
-    // The own zone first, while two backends there have room to spare: links between zones cost time and money.
-    if (own_zone_.size() >= 2 && v.soundings == 0 && uniform() < stay_chance()) {
+    // The own zone first, while two backends there have room to spare: links between zones cost time and
+    // money.
+    if (own_zone_.size() >= 2 && v.soundings == 0) {
       a = draw_ready(v, own_zone_, kNone, kRoomNear);
       if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
     }
@@ -476,7 +468,8 @@
   bool worth_sounding(const Invocation& v, Index a, Index b) {
     if (!may_probe_ || b == kNone || v.soundings >= kSoundings || backends_[a].out + backends_[b].out > 0)
       return false;
-    const double out = started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
+    const double out =
+        started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
     return uniform() > kTelling * out;
   }
   void sound(Index i, Index a, Index b) {
@@ -503,12 +496,13 @@
       return took >= 0 && static_cast<double>(took) <= usual_probe_;
     };
     const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
-    if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready)) return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
+    if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready))
+      return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
     if (!hand_off(i)) wait_or_answer(i);
   }
 
-  // Draws one, then tests it, and draws again: the same chances as a draw among all ready ones, at a cost that
-  // does not grow with the fleet. Only where few are ready are all of them looked at.
+  // Draws one, then tests it, and draws again: the same chances as a draw among all ready ones, at a cost
+  // that does not grow with the fleet. Only where few are ready are all of them looked at.
   Index draw_ready(const Invocation& v, const std::vector<Index>& from, Index but, double part) {
     for (int tries = 0; tries < kDraws && !from.empty(); ++tries) {
       const Index n = from[std::min(from.size() - 1, static_cast<std::size_t>(uniform() * from.size()))];
@@ -526,36 +520,12 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    return b.out < std::max(1.0, b.limit * part) && trusted(b) && (try_new_ || connected(b)) && may_go_to(b) && may_repeat_at(v, b) &&
-           within_cold_budget(b, weighed(v));
+    return b.out < std::max(1.0, b.limit * part) && trusted(b) && (try_new_ || connected(b)) &&
+           may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, weighed(v));
   }
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
-  double pull(Index n) {
-    const Backend& b = backends_[n];
-    const double pace = b.kind < kinds_.size() ? std::exp(fastest_ - kind_slowness_[b.kind]) : 1;
-    return std::max(1e-3, b.weight * warmth(b) * pace);
-  }
-
-  double stay_chance() {
-    return std::clamp(std::exp(kZoneBend * (far_.slowness(now_) - near_.slowness(now_))), 0.0, 0.95);
-  }
-
-  void learn_pace(const Backend& b, const Invocation& v, const HandOffEnded& e) {
-    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
-    // What failed took as long as its client would wait.
-    const Tenths took = e.ending == Ending::succeeded ? e.took : workloads_[v.workload].time_limit;
-    const double usual = usual_[v.workload] * (v.hinted ? v.work / usual_work_[v.workload] : 1);
-    const double slow = std::log(std::max(1.0, static_cast<double>(took)) / std::max(1.0, usual));
-    if (b.kind >= kinds_.size()) kinds_.resize(b.kind + 1), kind_slowness_.resize(b.kind + 1);
-    for (Pace* p : {&kinds_[b.kind], b.zone == zone_ ? &near_ : &far_})
-      p->sum.set_span(kSecond), p->count.set_span(kSecond), p->sum.add(now_, slow), p->count.add(now_, 1);
-    fastest_ = 1e9;
-    for (std::size_t k = 0; k < kinds_.size(); ++k) {
-      kind_slowness_[k] = kinds_[k].slowness(now_);
-      fastest_ = std::min(fastest_, kind_slowness_[k]);
-    }
-  }
+  double pull(Index n) const { return std::max(1e-3, backends_[n].weight * warmth(backends_[n])); }
 
   // ---- the members
 
@@ -618,7 +588,7 @@
     if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
     // A busy backend answers some in time and some not: only late ones with none in time between them are
     // doubt, or the first where this node hears of it too rarely to know better.
-    if (late && b.bad_run < 3 && b.good.total(now_, memory()) >= 1) return;
+    if (late && b.bad_run < 3 && b.good.total(now_) >= 1) return;
     b.bad.add(now_, 1), bad_.add(now_, 1);
     leave(static_cast<Index>(&b - backends_.data()));
   }
@@ -635,18 +605,12 @@
   }
   bool connected(const Backend& b) const { return b.idle > 0 && now_ < b.idle_until; }
 
-  // How far back is remembered, in spans: longer where this node seldom meets one backend.
-  int memory() {
-    return static_cast<int>(
-        std::clamp(4.0 * static_cast<double>(running_.size()) / (started_.total(now_) + 1) / 2, 4.0, 16.0));
-  }
-
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
   bool trusted(Backend& b, double least = 0) {
     const double all = good_.total(now_) + 1, fleet = std::max(least, all / (all + bad_.total(now_)));
-    return likely(b.good.total(now_, memory()), b.bad.total(now_, memory()), kTrust * fleet);
+    return likely(b.good.total(now_), b.bad.total(now_), kTrust * fleet);
   }
   bool likely(double good, double bad, double least) {
     if (bad < 0.5) return true;
@@ -665,10 +629,12 @@
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
-    const double anchor = std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
+    const double anchor =
+        std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
     if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
-    // A lost connection says nothing of how much a backend can take; held against it, it would keep it small once it is well.
+    // A lost connection says nothing of how much a backend can take; held against it, it would keep it small
+    // once it is well.
     if (e.ending == Ending::unreachable || e.ending == Ending::broken) return;
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
@@ -677,8 +643,8 @@
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
 
-  // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign of
-  // a queue.
+  // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign
+  // of a queue.
   Tenths slow_after(const Invocation& v) const {
     const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
     return static_cast<Tenths>(kSlowAt * static_cast<double>(workloads_[v.workload].due_time) * size);
@@ -698,7 +664,8 @@
     const Tenths until = v.arrived + patience;
     // With nothing out no ending would serve it: it would only be held up.
     const bool idle = total_out_ == 0 && !running_.empty();
-    if (idle || v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until) return answer(i);
+    if (idle || v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until)
+      return answer(i);
     v.waiting = true;
     waiting_.push_back(i);
     at(until, i);
@@ -816,17 +783,13 @@
   };
   std::vector<Warm> warm_;  // by kind
   Warm all_warm_;
-  Pace near_, far_;
-  std::vector<Pace> kinds_;
-  std::vector<double> kind_slowness_;
-  double fastest_ = 0;
-  double usual_out_ = 0;  // in flight from this node when it hands one out
-  bool try_new_ = true;  // drawn for each hand-off: whether it may open a connection
+  double usual_out_ = 0;         // in flight from this node when it hands one out
+  bool try_new_ = true;          // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
-  Ring<8> good_, bad_;  // how all hand-offs ended lately
+  Ring<8> good_, bad_;           // how all hand-offs ended lately
   int total_out_ = 0;
-  double node_limit_ = 0;   // learned from all answers together
-  Ring<10> started_;        // hand-offs begun in the last second
+  double node_limit_ = 0;  // learned from all answers together
+  Ring<10> started_;       // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::vector<Action> actions_, early_;
 };
