A cold backend's budget is shared by the nodes that have it as a member

At size a node with 4 of 250 as members sent cold backends its part as if all nodes did: a fiftieth of what was allowed. The measure is now what it gets done on the backends it uses, less three deviations of the number of such nodes.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -129,7 +129,7 @@
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
         may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone),
-        first_limit_(kFirstTogether / std::max(1, s.nodes)),
+        nodes_(std::max(1, s.nodes)), first_limit_(kFirstTogether / std::max(1, s.nodes)),
         least_limit_(kLeastTogether / std::max(1, s.nodes)),
         max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
         cold_from_(s.cold_from), warm_within_(s.warm_within),
@@ -333,6 +333,7 @@
   bool within_cold_budget(Backend& b, double work) {
     const double part = warmth(b);
     if (part >= 1) return true;
+    if (!b.member) return false;  // its members' nodes have the whole of it
     if (b.out >= std::max(1.0, b.limit * part))
       return false;  // what jams takes no more, whatever it took before
     measure_warm();
@@ -343,7 +344,7 @@
     // nodes together.
     if (weight <= 0) done = all_warm_.done, weight = all_warm_.weight;
     if (weight <= 0) done = work * 2 * least_limit_ / (cold_multiple_ * part), weight = b.weight;
-    const double allowed = cold_multiple_ * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
+    const double allowed = cold_multiple_ * crowd() * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
     if (sent + work <= allowed) return true;
     // With many nodes a node's part is less than one invocation: it then draws once a window whether to send
     // one, so that all nodes together send what they may, not nothing.
@@ -360,6 +361,14 @@
   // i5ba5dd).
   double weighed(const Invocation& v) const { return std::max(v.work, usual_work_[v.workload]); }
 
+  // Where nodes keep to few backends each, chance makes some a member of more nodes than others: a node's part is
+  // made smaller by three deviations of that number. 1 where all are members of all.
+  double crowd() const {
+    const double share = static_cast<double>(members_.size()) / static_cast<double>(running_.size());
+    const double nodes = nodes_ * share;
+    return nodes / (nodes + 3 * std::sqrt(nodes * (1 - share)) + (1 - share));
+  }
+
   // What this node gets done in a window on warm backends, by kind: summed once a bucket, not for each cold
   // one.
   void measure_warm() {
@@ -369,7 +378,7 @@
     all_warm_ = {};
     for (Index n : running_) {
       Backend& b = backends_[n];
-      if (warmth(b) < 1) continue;
+      if (warmth(b) < 1 || (!b.member && b.done.total(now_) <= 0)) continue;
       if (b.kind >= warm_.size()) warm_.resize(b.kind + 1);
       const double done = b.done.total(now_) / 4;
       for (Warm* w : {&warm_[b.kind], &all_warm_}) w->done += done, w->weight += b.weight;
@@ -759,7 +768,7 @@
   const int max_hand_offs_;
   const bool second_copies_, may_recall_, may_probe_;
   const Index zone_;
-  const double first_limit_, least_limit_;
+  const double nodes_, first_limit_, least_limit_;
   const Tenths max_retry_in_;  // 0 where clients don't heed it
   const Tenths margin_;        // no answer is left closer than this to its limit
   const double cold_from_;
