--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -128,8 +128,8 @@
  public:
   Impl(const Settings& s, Tenths now)
       : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone),
-        nodes_(std::max(1, s.nodes)), first_limit_(kFirstTogether / std::max(1, s.nodes)),
+        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone), nodes_(std::max(1, s.nodes)),
+        first_limit_(kFirstTogether / std::max(1, s.nodes)),
         least_limit_(kLeastTogether / std::max(1, s.nodes)),
         max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
         cold_from_(s.cold_from), warm_within_(s.warm_within),
@@ -161,6 +161,7 @@
 
   void on(const FleetList& list) {
     if (list.form == ListForm::failed) return retry_ask();
+    if (list.form != ListForm::cached) ask_gap_now_ = 0;  // it answers again
     if (list.form != ListForm::delta)
       for (Backend& b : backends_) b.told_to_stop = true;
     for (const ListEntry& e : list.entries) {
@@ -344,7 +345,8 @@
     // nodes together.
     if (weight <= 0) done = all_warm_.done, weight = all_warm_.weight;
     if (weight <= 0) done = work * 2 * least_limit_ / (cold_multiple_ * part), weight = b.weight;
-    const double allowed = cold_multiple_ * crowd() * part * done * b.weight / weight, sent = b.cold_sent.total(now_);
+    const double allowed = cold_multiple_ * crowd() * part * done * b.weight / weight,
+                 sent = b.cold_sent.total(now_);
     if (sent + work <= allowed) return true;
     // With many nodes a node's part is less than one invocation: it then draws once a window whether to send
     // one, so that all nodes together send what they may, not nothing.
@@ -361,12 +363,12 @@
   // i5ba5dd).
   double weighed(const Invocation& v) const { return std::max(v.work, usual_work_[v.workload]); }
 
-  // Where nodes keep to few backends each, chance makes some a member of more nodes than others: a node's part is
-  // made smaller by three deviations of that number. 1 where all are members of all.
+  // Where nodes keep to few backends each, chance makes some a member of more nodes than others: a node's
+  // part is made smaller by one and a half deviations of that number. 1 where all are members of all.
   double crowd() const {
     const double share = static_cast<double>(members_.size()) / static_cast<double>(running_.size());
     const double nodes = nodes_ * share;
-    return nodes / (nodes + 3 * std::sqrt(nodes * (1 - share)) + (1 - share));
+    return nodes / (nodes + 1.5 * std::sqrt(nodes * (1 - share)) + (1 - share));
   }
 
   // What this node gets done in a window on warm backends, by kind: summed once a bucket, not for each cold
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -51,7 +51,7 @@
   bool lost = false;  // not even a time-out is told
   bool open = false;  // answers on open connections; new ones fail
   Ending ending = Ending::succeeded;
-  Tenths after = 0;
+  Tenths after = 0, probe = 0;
 };
 
 class Player {
@@ -78,9 +78,12 @@
     const std::string& how = l.words.back();
     const bool silent = how == "silent" || how == "lost";
     for (std::size_t i = 1; i + 1 < l.words.size(); ++i)
-      ways_[l.words[i]] = {silent, how == "lost", how == "open",
+      ways_[l.words[i]] = {silent,
+                           how == "lost",
+                           how == "open",
                            silent || how == "open" ? Ending::succeeded : kEndings.at(how),
-                           l.span("after", 10)};
+                           l.span("after", 10),
+                           l.span("probe", 1)};
   }
 
   struct Out {
@@ -101,6 +104,7 @@
     s_.max_hand_offs = static_cast<int>(l.number("hand-offs", 3));
     s_.must_ask = !l.has("pushed");
     s_.may_recall = true;
+    s_.may_probe = l.has("probes");
     s_.second_copies = !l.has("no-copies");
     s_.tick = kMs;
     s_.connect_timeout = 250 * kMs;
@@ -200,7 +204,9 @@
         const Later end_now = later_[first];
         later_.erase(later_.begin() + static_cast<std::ptrdiff_t>(first));
         now_ = std::max(now_, end_now.at);
-        if (ended_.count({end_now.invocation, end_now.number}) == 0)
+        if (end_now.invocation.empty())
+          tell(ProbeEnded{static_cast<Index>(end_now.number), true, ways_[backends_[end_now.number]].probe});
+        else if (ended_.count({end_now.invocation, end_now.number}) == 0)
           end(end_now.invocation, end_now.number, end_now.ending, false);
       } else {
         now_ = to;
@@ -217,6 +223,10 @@
 
   void note(const Action& a) {
     if (a.what == Do::set_timer) timers_.insert(std::max(a.at, now_ + 1));
+    if (a.what == Do::probe) {
+      ++counts_["probe"];
+      later_.push_back({now_ + ways_[backends_.at(a.backend)].probe, "", static_cast<int>(a.backend), {}});
+    }
     if (a.what == Do::watch) seen_.push_back("watch"), ++counts_["watch"];
     if (a.what == Do::recall && ended_.count({invocations_.at(a.invocation), a.number}) == 0)
       later_.push_back({now_ + 1, invocations_.at(a.invocation), a.number, Ending::recalled});
