--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,7 +62,7 @@
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
-constexpr double kJamShare = 0.13;  // and the limit of the node settles at this share
+constexpr double kJamShare = 0.15;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
@@ -640,8 +640,7 @@
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
-    in_time_run_ = late ? 0 : in_time_run_ + 1;
-    const double anchor = (in_time_run_ >= 10 ? 3 : 1) *
+    const double anchor =
         std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
     if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
@@ -795,7 +794,6 @@
   };
   std::vector<Warm> warm_;  // by kind
   Warm all_warm_;
-  int in_time_run_ = 0;
   double usual_out_ = 0;         // in flight from this node when it hands one out
   bool try_new_ = true;          // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
