--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,9 +62,9 @@
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
-constexpr double kJamShare = 0.15;  // and the limit of the node settles at this share
+constexpr double kJamShare = 0.18;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr int kSoundings = 2;
+constexpr int kSoundings = 3;
 constexpr std::size_t kLeastMembers = 4;
 constexpr double kSpread = 2.5;
 constexpr double kTelling = 4;
