--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -415,7 +415,7 @@
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
-    if (worth_sounding(v, a, b)) sound(i, a, b);
+    if (worth_sounding(v, a, b)) sound(i, a, a);
     else place(i, better_of(a, b));
     return true;
   }
