--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -64,7 +64,7 @@
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
 constexpr double kJamShare = 0.18;  // and the limit of the node settles at this share
 constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr int kSoundings = 3;
+constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
 constexpr double kSpread = 2.5;
 constexpr double kTelling = 4;
@@ -415,7 +415,7 @@
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
-    if (worth_sounding(v, a, b)) sound(i, a, a);
+    if (worth_sounding(v, a, b)) sound(i, a, b);
     else place(i, better_of(a, b));
     return true;
   }
