--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,7 +66,7 @@
 constexpr double kStep = 0.3;       // how far one late answer moves it
 constexpr int kSoundings = 2;
 constexpr std::size_t kLeastMembers = 4;
-constexpr double kSpread = 2.5;
+constexpr double kSpread = 3.5;
 constexpr double kTelling = 4;
 constexpr int kDraws = 12;  // candidates drawn before all are looked at
 
