--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,13 +62,13 @@
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
-constexpr double kJamShare = 0.18;  // and the limit of the node settles at this share
-constexpr double kStep = 0.3;       // how far one late answer moves it
-constexpr int kSoundings = 2;
-constexpr std::size_t kLeastMembers = 4;
-constexpr double kSpread = 3.5;
-constexpr double kTelling = 4;
-constexpr int kDraws = 12;  // candidates drawn before all are looked at
+constexpr double kJamShare = 0.18;        // and the limit of the node settles at this share
+constexpr double kStep = 0.3;             // how far one late answer moves it
+constexpr int kSoundings = 2;             // pairs probed for an invocation
+constexpr double kTelling = 4;            // none where a quarter is usually in flight at a backend
+constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
+constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
+constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
 struct Backend {
   bool known = false;
@@ -81,13 +81,13 @@
   double limit = 0;   // how many of them may be in flight
   Ring<8> good, bad;  // how hand-offs ended here lately
   int probes_out = 0;
-  Tenths probe_took = -1;  // what the last probe took; -1: not known
-  int idle = 0;            // open connections of this node that nothing uses
-  Tenths idle_until = 0;   // when they close by themselves
-  bool running = false, member = false;
-  int bad_run = 0;        // how many of the last ones in a row ended badly
-  Ring<16> done;          // work this node got done here
-  Tenths draw_again = 0;  // cold: when to draw next whether it may be sent one at all
+  Tenths probe_took = -1;                // what the last probe took; -1: not known
+  int idle = 0;                          // open connections of this node that nothing uses
+  Tenths idle_until = 0;                 // when they close by themselves
+  bool running = false, member = false;  // in the list; of those that this node keeps to
+  int bad_run = 0;                       // how many of the last ones in a row ended badly
+  Ring<16> done;                         // work this node got done here
+  Tenths draw_again = 0;                 // cold: when to draw next whether it may be sent one at all
   bool drawn = false;
   Ring<16> cold_sent;  // work this node sent here, over the length of the fall window
 };
@@ -175,6 +175,7 @@
         b.bad.set_span(kSecond);
         b.good.clear();
         b.bad.clear();
+        b.idle = 0;
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
       b.known = true;
@@ -334,7 +335,7 @@
   bool within_cold_budget(Backend& b, double work) {
     const double part = warmth(b);
     if (part >= 1) return true;
-    if (!b.member) return false;  // its members' nodes have the whole of it
+    if (!b.member) return false;  // the nodes that have it as a member share all of it
     if (b.out >= std::max(1.0, b.limit * part))
       return false;  // what jams takes no more, whatever it took before
     measure_warm();
@@ -540,8 +541,8 @@
 
   // ---- the members
 
-  // A node that sees little keeps to so few backends that it meets each every few seconds: it then knows them
-  // and holds few connections. One that does badly is left for another drawn at random.
+  // A node that sees little keeps to so few backends that its own counts tell something of them; where that
+  // is the whole fleet, all are members. One that does badly is left for another drawn at random.
   void fill_members() {
     const auto want = std::min<std::size_t>(
         running_.size(), std::max(kLeastMembers, static_cast<std::size_t>(kSpread * usual_out_)));
