--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -65,7 +65,7 @@
 constexpr double kJamShare = 0.18;        // and the limit of the node settles at this share
 constexpr double kStep = 0.3;             // how far one late answer moves it
 constexpr int kSoundings = 2;             // pairs probed for an invocation
-constexpr double kLeastCrowding = 0.4;
+constexpr double kNeed = 5;
 constexpr double kTelling = 4;            // none where a quarter is usually in flight at a backend
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
@@ -140,9 +140,8 @@
         workloads_(s.workloads) {
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
-    typical_ = at_best_ = std::vector<double>(usual_.size(), 0);
     started_.set_span(kSecond / 10);
-    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_}) r->set_span(kSecond);
+    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_, &answers_, &slow_}) r->set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -247,10 +246,6 @@
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
-      const double took = std::log(1.0 + static_cast<double>(e.took));
-      double &typical = typical_[v.workload], &best = at_best_[v.workload];
-      typical = typical > 0 ? typical + (took - typical) / 16 : took;
-      best = best > 0 ? std::min(typical, best + 0.001) : typical;
       usual_[v.workload] += (static_cast<double>(e.took) - usual_[v.workload]) / 64;
     }
     if (e.final || e.ending == Ending::succeeded) finish(e.invocation);
@@ -488,7 +483,8 @@
       return false;
     const double out =
         started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
-    return uniform() > kTelling * out;
+    const double slow = (slow_.total(now_) + 1) / (answers_.total(now_) + 2);
+    return uniform() < kNeed * slow - kTelling * out;
   }
   void sound(Index i, Index a, Index b) {
     Invocation& v = invocations_[i];
@@ -645,12 +641,12 @@
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::error || e.ending == Ending::recalled || e.ending == Ending::never_sent) return;
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
+    answers_.add(now_, 1), slow_.add(now_, late);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     const double anchor =
         std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
-    if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) *
-                             (late ? (kJamShare - 1) * crowding(v.workload) : kJamShare * anchor);
+    if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     // A lost connection says nothing of how much a backend can take; held against it, it would keep it small
     // once it is well.
@@ -662,12 +658,6 @@
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
 
-  // Huge invocations and lost ones are late however little is out: where those that succeed take hardly longer
-  // than they have at best, late answers count for less.
-  double crowding(Index workload) const {
-    return std::clamp((typical_[workload] - at_best_[workload]) / std::log(2.0), kLeastCrowding, 1.0);
-  }
-
   // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign
   // of a queue.
   Tenths slow_after(const Invocation& v) const {
@@ -795,7 +785,6 @@
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   std::uint64_t order_ = 0;
-  std::vector<double> typical_, at_best_;  // by workload: logarithm of the time of a success, now and at best
   std::vector<double> usual_work_;  // by workload
   std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
@@ -812,6 +801,7 @@
   double usual_out_ = 0;         // in flight from this node when it hands one out
   bool try_new_ = true;          // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
+  Ring<8> answers_, slow_;
   Ring<8> good_, bad_;           // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;  // learned from all answers together
