--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -65,7 +65,6 @@
 constexpr double kJamShare = 0.18;        // and the limit of the node settles at this share
 constexpr double kStep = 0.3;             // how far one late answer moves it
 constexpr int kSoundings = 2;             // pairs probed for an invocation
-constexpr double kNeed = 5;
 constexpr double kTelling = 4;            // none where a quarter is usually in flight at a backend
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
@@ -141,7 +140,7 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_, &answers_, &slow_}) r->set_span(kSecond);
+    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_}) r->set_span(kSecond);
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -436,7 +435,7 @@
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
     if (second_copies_ && v.out == 1 && b.good.total(now_) < 1) {
-      v.copy_at = now_ + slow_after(v);
+      v.copy_at = now_ + slow_after(v) * 2 / 3;
       at(v.copy_at, i);
     }
   }
@@ -483,8 +482,7 @@
       return false;
     const double out =
         started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
-    const double slow = (slow_.total(now_) + 1) / (answers_.total(now_) + 2);
-    return uniform() < kNeed * slow - kTelling * out;
+    return uniform() > kTelling * out;
   }
   void sound(Index i, Index a, Index b) {
     Invocation& v = invocations_[i];
@@ -641,7 +639,6 @@
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::error || e.ending == Ending::recalled || e.ending == Ending::never_sent) return;
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
-    answers_.add(now_, 1), slow_.add(now_, late);
     const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     const double anchor =
@@ -801,7 +798,6 @@
   double usual_out_ = 0;         // in flight from this node when it hands one out
   bool try_new_ = true;          // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
-  Ring<8> answers_, slow_;
   Ring<8> good_, bad_;           // how all hand-offs ended lately
   int total_out_ = 0;
   double node_limit_ = 0;  // learned from all answers together
