--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -435,7 +435,7 @@
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
     if (second_copies_ && v.out == 1 && b.good.total(now_) < 1) {
-      v.copy_at = now_ + slow_after(v) / 2;
+      v.copy_at = now_ + slow_after(v) * 2 / 3;  // in time for the copy, too
       at(v.copy_at, i);
     }
   }
