--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,75 @@
+#include "config/config.h"
+
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace troutstage {
+namespace {
+
+using Json = nlohmann::json;
+
+// Nested JSON as the pairs that the one reader of settings takes: objects by dotted paths, lists of objects
+// by number beside their count, lists of plain values with commas.
+void flatten(const std::string& path, const Json& value, Pairs& into) {
+  const auto below = [&](const std::string& key) { return path.empty() ? key : path + "." + key; };
+  if (value.is_object()) {
+    for (const auto& [key, inner] : value.items()) flatten(below(key), inner, into);
+  } else if (value.is_array() && !value.empty() && value[0].is_object()) {
+    into[below("count")] = std::to_string(value.size());
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(below(std::to_string(i)), value[i], into);
+  } else if (value.is_array()) {
+    std::string all;
+    for (const Json& one : value)
+      all += (all.empty() ? "" : ",") + (one.is_string() ? one.get<std::string>() : one.dump());
+    into[path] = all;
+    into[below("count")] = std::to_string(value.size());
+  } else if (!value.is_null()) {
+    into[path] = value.is_string() ? value.get<std::string>() : value.dump();
+  }
+}
+
+std::uint64_t read_seed(const Json& value) {
+  if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+  const auto text = value.get<std::string>();
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw Malformed("seed is no hexadecimal number");
+  return seed;
+}
+
+}  // namespace
+
+Config read_config(const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    Config c;
+    c.name = json.value("name", "");
+    c.listen = json.value("listen", "");
+    c.discovery = json.value("discovery", "");
+    if (json.contains("known")) c.known = json.at("known").dump();
+    if (json.contains("limits")) c.descriptors = json.at("limits").value("sockets", c.descriptors);
+    if (c.descriptors < 32 || c.descriptors > 1000000) throw Malformed("limits.sockets is out of range");
+    Pairs pairs;
+    flatten("", json.at("settings"), pairs);
+    c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : 0, c.names);
+    if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
+    // The protocol on sockets has no probes.
+    c.settings.may_probe = false;
+    return c;
+  } catch (const Json::exception& broken) {
+    throw Malformed(broken.what());
+  }
+}
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  if (!in || !(text << in.rdbuf())) throw Malformed("can't read '" + path + "': " + std::strerror(errno));
+  return text.str();
+}
+
+}  // namespace troutstage
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,23 @@
+// What a node is told at its start: its configuration file, with the environment's and the command line's
+// word over it.
+#pragma once
+
+#include <string>
+
+#include "core/settings.h"
+
+namespace troutstage {
+
+struct Config {
+  std::string name, listen, discovery;
+  std::string known;  // the list as it was last had, in discovery's form
+  std::size_t descriptors = 1024;
+  Settings settings;
+  Names names;
+};
+
+// Throws Malformed with one line that says what is wrong.
+Config read_config(const std::string& json);
+std::string read_file(const std::string& path);
+
+}  // namespace troutstage
--- /dev/null
+++ b/src/core/balancer.h
@@ -0,0 +1,79 @@
+// The decisions in blocking style: an invocation is taken, pick() says what to do for it next, report() how
+// that went, and tick() lets time pass. It does no I/O; who calls it never sees the module's events or
+// actions.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "core/clock.h"
+#include "decide.h"
+
+namespace troutstage::core {
+
+// What is known of an invocation that comes in.
+struct Demand {
+  Index workload = 0;
+  Index tenant = kNone;
+  Tenths valid_until = 0;
+  double hint = 0;  // expected work in tenths of a millisecond; 0: not told
+  bool client_repeat = false;
+};
+
+enum class Next {
+  hand_off,   // number, backend, until: try this one
+  recall,     // number: stop waiting for it
+  succeeded,  // number: its answer is the invocation's. This and the ones below are final
+  reject,     // retry_in
+  give_up,
+  gone,  // the client is: nobody waits for an answer
+};
+struct Step {
+  Next what = Next::give_up;
+  int number = 0;
+  Index backend = kNone;
+  Tenths until = 0;
+  Tenths retry_in = 0;
+};
+
+struct Invocation;  // as the facade holds it
+using Ticket = std::shared_ptr<Invocation>;
+
+class Balancer {
+ public:
+  Balancer(const Settings& settings, const Clock& clock);
+
+  Ticket take(const Demand& demand);
+  Step pick(const Ticket& ticket);  // blocks until there is a next step
+  // How a hand-off ended: once for each that pick() gave out, also when it was recalled meanwhile.
+  void report(const Ticket& ticket, int number, Ending ending);
+  void client_gone(const Ticket& ticket);
+
+  void tick();       // does what has come due
+  void run_ticks();  // ticks whenever something comes due, until stop()
+
+  void told(ListForm form, std::vector<ListEntry> entries);
+  bool await_watch();  // blocks until the list is to be watched (again); false: stop() was called
+  void stop();
+
+ private:
+  void tell(std::unique_lock<std::mutex>& held, const Event& event);
+  void carry_out(const Action& action);
+  void seal(Invocation& v);
+  void add_step(Invocation& v, const Step& step);
+
+  const Clock& clock_;
+  std::mutex lock_;
+  std::condition_variable due_changed_, watch_changed_;
+  Decider decider_;
+  std::vector<Ticket> held_;  // by index
+  std::vector<Index> free_;
+  std::deque<HandOffEnded> unsent_;  // taken back before anybody had picked them up
+  Tenths due_ = INT64_MAX;
+  bool watch_wanted_ = false, stopped_ = false;
+};
+
+}  // namespace troutstage::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,109 @@
+// The program's sub-commands.
+#include <malloc.h>
+#include <signal.h>
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "config/config.h"
+#include "log/log.h"
+#include "net/node.h"
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace troutstage;
+
+constexpr std::string_view kVersion = "0.2.0";
+// After the order to stop, connections go on coming for some tenths of a second.
+constexpr std::chrono::milliseconds kDrainGrace{550};
+
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+Config load(const options::variables_map& given) {
+  const std::string path =
+      given.count("config") ? given["config"].as<std::string>() : environment("RELAY_CONFIG");
+  if (path.empty()) throw Malformed("no configuration: give --config FILE or set RELAY_CONFIG");
+  Config config = read_config(read_file(path));
+  const auto over = [&](std::string& value, const char* variable, const char* option) {
+    if (const std::string told = environment(variable); !told.empty()) value = told;
+    if (given.count(option)) value = given[option].as<std::string>();
+    if (value.empty()) throw Malformed(std::string(option) + " is not set");
+  };
+  over(config.name, "RELAY_NAME", "name");
+  over(config.listen, "RELAY_LISTEN", "listen");
+  over(config.discovery, "RELAY_DISCOVERY", "discovery");
+  net::parse_address(config.listen);
+  net::parse_address(config.discovery);
+  return config;
+}
+
+int serve(const Config& config) {
+  // Few arenas: with one for each thread, memory would grow with the threads.
+  ::mallopt(M_ARENA_MAX, 2);
+  // Signals are waited for here; threads that start later have them blocked.
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (int s : {SIGTERM, SIGINT, SIGUSR1}) ::sigaddset(&signals, s);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  ::signal(SIGPIPE, SIG_IGN);
+  net::Node node(config);
+  node.start();
+  for (int got = 0; ::sigwait(&signals, &got) == 0 && got == SIGUSR1;)
+    log::info("{}", node.counters().text());
+  node.drain(kDrainGrace);
+  log::info("{}", node.counters().text());
+  return 0;
+}
+
+int run(int argc, char** argv) {
+  const std::string command = argc > 1 && argv[1][0] != '-' ? argv[1] : argc > 1 ? "help" : "serve";
+  options::options_description all("Options of serve and check");
+  auto add = all.add_options();
+  add("config", options::value<std::string>(), "configuration file (else RELAY_CONFIG)");
+  add("name", options::value<std::string>(), "the node's name (else RELAY_NAME, else the file's)");
+  add("listen", options::value<std::string>(),
+      "ADDRESS:PORT for clients (else RELAY_LISTEN, else the file's)");
+  add("discovery", options::value<std::string>(),
+      "ADDRESS:PORT of discovery (else RELAY_DISCOVERY, else the file's)");
+  add("verbose", "log what happens to single requests too");
+  if (command == "help") {
+    std::cout << "troutstage serve|check|version|help [options]\n"
+                 "  serve    run a node until SIGTERM; SIGUSR1 logs its counters (the default)\n"
+                 "  check    read the configuration and say whether it can be used\n"
+                 "  version  print the version\n\n"
+              << all;
+    return 0;
+  }
+  if (command == "version") {
+    std::cout << "troutstage " << kVersion << "\n";
+    return 0;
+  }
+  if (command != "serve" && command != "check")
+    throw Malformed("unknown command '" + command + "', see help");
+  options::variables_map given;
+  options::store(
+      options::command_line_parser(std::max(0, argc - 1), argv + std::min(1, argc)).options(all).run(),
+      given);
+  if (given.count("verbose")) log::set_least(log::Level::debug);
+  const Config config = load(given);
+  if (command == "serve") return serve(config);
+  std::cout << "configuration can be used: " << config.name << " on " << config.listen << ", "
+            << config.settings.workloads.size() << " workloads\n";
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& wrong) {
+    std::cerr << "troutstage: " << wrong.what() << std::endl;
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,37 @@
+#include "net/counters.h"
+
+#include <fmt/format.h>
+
+namespace troutstage::net {
+
+std::string Counters::text() const {
+  std::string out;
+  const auto line = [&](std::string_view name, std::uint64_t figure) {
+    out += fmt::format("{} {}\n", name, figure);
+  };
+  // What is in work is read before and what came is read after, so that no sum looks too large for a moment.
+  const std::uint64_t answered = succeeded + rejected + given_up + client_gone + broke_inside;
+  std::uint64_t over = 0;
+  for (const Count& n : ended) over += n;
+  const std::uint64_t came = taken, sent = handed_off;
+  line("taken", came);
+  line("held", came - answered);
+  line("succeeded", succeeded);
+  line("rejected", rejected);
+  line("given_up", given_up);
+  line("client_gone", client_gone);
+  line("broke_inside", broke_inside);
+  line("handed_off", sent);
+  line("out", sent - over);
+  for (std::size_t i = 0; i < ended.size(); ++i) line(fmt::format("ended_{}", kEndedNames[i]), ended[i]);
+  line("connections_taken", connections_taken);
+  line("connections_opened", connections_opened);
+  line("bad_requests", bad_requests);
+  line("turned_off_full", turned_off_full);
+  line("answers_unread", answers_unread);
+  line("watches", watches);
+  line("watches_failed", watches_failed);
+  return out;
+}
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/ending.h
@@ -0,0 +1,50 @@
+// Every way in which a hand-off's connection can end, as one value; and the one place that tells the
+// decisions what it means.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+#include "decide.h"
+
+namespace troutstage::net {
+
+enum class Ended {
+  answered,          // 200 and the whole body
+  answered_error,    // any other whole answer
+  turned_away,       // an answer that says it was not looked at
+  no_room,           // this node has no descriptor or thread left for it
+  not_connected,     // refused, or never came up
+  cut_before_sent,   // broke, or time ran out, before the last byte was written
+  cut_after_sent,    // broke with no byte of an answer
+  answer_cut,        // broke in the middle of the answer
+  answer_malformed,  // what came is no HTTP
+  timed_out,         // nothing came while this node waited
+  recalled_unsent,   // recalled before the last byte was written
+  recalled,          // recalled after that
+};
+inline constexpr std::array<std::string_view, 12> kEndedNames = {
+    "answered",       "answered_error", "turned_away",      "no_room",   "not_connected",   "cut_before_sent",
+    "cut_after_sent", "answer_cut",     "answer_malformed", "timed_out", "recalled_unsent", "recalled"};
+
+// Only what is proven not to have run may be told so: the last byte was never written, or the backend says
+// it.
+inline Ending outcome(Ended ended) {
+  switch (ended) {
+    case Ended::answered: return Ending::succeeded;
+    case Ended::answered_error: return Ending::error;
+    case Ended::turned_away: return Ending::turned_away;
+    case Ended::not_connected:
+    case Ended::cut_before_sent: return Ending::unreachable;
+    case Ended::cut_after_sent:
+    case Ended::answer_cut:
+    case Ended::answer_malformed: return Ending::broken;
+    case Ended::timed_out: return Ending::timed_out;
+    case Ended::recalled: return Ending::recalled;
+    case Ended::no_room:
+    case Ended::recalled_unsent: return Ending::never_sent;
+  }
+  return Ending::broken;
+}
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/exchange.h
@@ -0,0 +1,44 @@
+// One hand-off on the wire: a request goes to one backend, and what becomes of it is one value of Ended.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "net/counters.h"
+#include "net/http.h"
+#include "net/pool.h"
+
+namespace troutstage::net {
+
+struct Target {
+  Index backend = kNone;
+  sockaddr_in address{};
+};
+
+class Exchange {
+ public:
+  Exchange(Pool& pool, Counters& counters, std::chrono::steady_clock::duration connect_limit)
+      : pool_(pool), counters_(counters), connect_limit_(connect_limit) {}
+  // Blocks till it is over, at `until` at the latest.
+  Ended run(const Request& request, const Target& target, Moment until);
+  // Ends run() from another thread. The connection is shut down, never closed: its number may be in use
+  // again.
+  void recall();
+  const Response& answer() const { return answer_; }  // after run()
+
+ private:
+  Ended over(const Request& request, const Target& target, Moment until);
+  bool hold(int fd);  // false: it was recalled before
+  bool recalled();
+
+  Pool& pool_;
+  Counters& counters_;
+  const std::chrono::steady_clock::duration connect_limit_;
+  Response answer_;
+  std::mutex lock_;
+  int fd_ = -1;  // in use by run(), which owns it
+  bool recalled_ = false;
+};
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,331 @@
+#include "net/http.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "net/protocol.h"
+
+namespace troutstage::net {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n", kBlankLine = "\r\n\r\n";
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+bool is_token(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') || kMarks.find(c) != kMarks.npos;
+  });
+}
+bool is_text(std::string_view text) {
+  return std::none_of(text.begin(), text.end(),
+                      [](char c) { return (static_cast<unsigned char>(c) < 32 && c != '\t') || c == 127; });
+}
+
+// Headers that belong to this connection, or that the node writes itself.
+bool goes_on(std::string_view name) {
+  constexpr std::string_view kStay[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Upgrade",
+                                        "TE",         "Trailer",    "Expect",           kRemaining};
+  return std::none_of(std::begin(kStay), std::end(kStay), [&](auto stay) { return same_word(name, stay); });
+}
+
+std::string_view reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 411: return "Length Required";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 500: return "Internal Server Error";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    default: return "Unknown";
+  }
+}
+
+// What the headers that decisions need say; an empty text means that all is well.
+std::string_view take_fields(const Head& head, Request& r) {
+  for (std::string_view name : {kRemaining, kTenant, kTransaction, kLabel, kHint, kRepeat})
+    if (head.count(name) > 1) return "a header that may stand once stands twice";
+  r.tenant = head.value(kTenant);
+  if (head.value(kTransaction).empty()) return "no transaction";
+  if (head.count(kRemaining) > 0) {
+    const auto remaining = parse_digits(head.value(kRemaining));
+    constexpr std::int64_t kDay = 24 * 3600 * 1000;
+    if (!remaining || *remaining > kDay) return "an absurd time limit";
+    r.remaining_ms = *remaining;
+  }
+  if (const std::string_view hint = head.value(kHint); !hint.empty()) {
+    const auto [end, error] = std::from_chars(hint.data(), hint.data() + hint.size(), r.hint_micros);
+    if (error != std::errc() || end != hint.data() + hint.size() ||
+        !(r.hint_micros >= 0 && r.hint_micros < 1e12))
+      return "an absurd estimate";
+  }
+  r.labelled = !head.value(kLabel).empty();
+  r.client_repeat = head.value(kRepeat) == "1";
+  return {};
+}
+
+}  // namespace
+
+bool same_word(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+std::optional<std::int64_t> parse_digits(std::string_view text) {
+  std::int64_t value = 0;
+  if (text.empty() || text.size() > 15) return std::nullopt;
+  for (char c : text) {
+    if (c < '0' || c > '9') return std::nullopt;
+    value = value * 10 + (c - '0');
+  }
+  return value;
+}
+
+std::size_t Head::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(),
+                                                [&](const Header& h) { return same_word(h.name, name); }));
+}
+std::string_view Head::value(std::string_view name) const {
+  for (const Header& h : headers)
+    if (same_word(h.name, name)) return h.value;
+  return {};
+}
+bool Head::lists(std::string_view name, std::string_view token) const {
+  for (const Header& h : headers) {
+    if (!same_word(h.name, name)) continue;
+    for (std::string_view rest = h.value; !rest.empty();) {
+      const std::string_view one = rest.substr(0, rest.find(','));
+      rest.remove_prefix(std::min(rest.size(), one.size() + 1));
+      if (same_word(trimmed(one), token)) return true;
+    }
+  }
+  return false;
+}
+
+std::optional<Head> parse_head(std::string_view bytes) {
+  Head head;
+  std::size_t end = bytes.find(kLineEnd);
+  if (end == std::string_view::npos) return std::nullopt;
+  std::string_view first = bytes.substr(0, end);
+  if (!is_text(first)) return std::nullopt;
+  for (int i = 0; i < 3; ++i) {
+    const std::size_t blank = i < 2 ? first.find(' ') : std::string_view::npos;
+    head.first[i] = first.substr(0, blank);
+    first.remove_prefix(blank == std::string_view::npos ? first.size() : blank + 1);
+  }
+  for (std::size_t from = end + 2;;) {
+    end = bytes.find(kLineEnd, from);
+    if (end == std::string_view::npos) return std::nullopt;
+    if (end == from) return head;
+    const std::string_view line = bytes.substr(from, end - from);
+    const std::size_t colon = line.find(':');
+    // A folded line, a blank before the colon and a bare line end are read in different ways by different
+    // programs; a request could be smuggled in them.
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) || !is_text(line.substr(colon)))
+      return std::nullopt;
+    head.headers.push_back(
+        {line.substr(0, colon), trimmed(line.substr(colon + 1)), bytes.substr(from, end + 2 - from)});
+    from = end + 2;
+  }
+}
+
+// Reads on until the buffer holds `need` bytes.
+Got Reader::more(Moment limit, std::size_t need) {
+  while (buffer_.size() < need) {
+    switch (read_some(fd_, buffer_, limit)) {
+      case Io::done: break;
+      case Io::late: return Got::late;
+      case Io::ended:
+      case Io::broken: return buffer_.empty() ? Got::nothing : Got::cut;
+    }
+  }
+  return Got::whole;
+}
+
+Got Reader::read_head(Moment limit, Head& head) {
+  buffer_.erase(0, std::exchange(used_, 0));
+  std::size_t looked = 0;
+  for (;;) {
+    const std::size_t end = buffer_.find(kBlankLine, looked);
+    if (end != std::string::npos) {
+      used_ = end + kBlankLine.size();
+      auto parsed = parse_head(std::string_view(buffer_).substr(0, used_));
+      if (!parsed) return Got::malformed;
+      head = std::move(*parsed);
+      return Got::whole;
+    }
+    if (buffer_.size() > kMostHead) return Got::too_large;
+    looked = buffer_.size() < 3 ? 0 : buffer_.size() - 3;
+    if (const Got got = more(limit, buffer_.size() + 1); got != Got::whole) return got;
+  }
+}
+
+Got Reader::read_body(Moment limit, std::size_t size, std::string& body) {
+  buffer_.erase(0, std::exchange(used_, 0));
+  const Got got = more(limit, size);
+  if (got != Got::whole) return got == Got::nothing ? Got::cut : got;
+  body.append(buffer_, 0, size);
+  buffer_.erase(0, size);
+  return Got::whole;
+}
+
+Got Reader::read_line(Moment limit, std::string& line) {
+  for (;;) {
+    const std::size_t end = buffer_.find(kLineEnd);
+    if (end != std::string::npos) {
+      line = buffer_.substr(0, end);
+      buffer_.erase(0, end + 2);
+      return Got::whole;
+    }
+    if (buffer_.size() > kMostHead) return Got::malformed;
+    if (const Got got = more(limit, buffer_.size() + 1); got != Got::whole)
+      return got == Got::nothing ? Got::cut : got;
+  }
+}
+
+Got Reader::read_chunks(Moment limit, std::size_t most, std::string& body) {
+  buffer_.erase(0, std::exchange(used_, 0));
+  for (std::string line;;) {
+    if (const Got got = read_line(limit, line); got != Got::whole) return got;
+    std::size_t size = 0;
+    const std::string_view digits = trimmed(std::string_view(line).substr(0, line.find(';')));
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
+    if (error != std::errc() || end != digits.data() + digits.size()) return Got::malformed;
+    if (size > most || body.size() + size > most) return Got::too_large;
+    if (size > 0) {
+      if (const Got got = read_body(limit, size, body); got != Got::whole) return got;
+      if (const Got got = read_line(limit, line); got != Got::whole) return got;
+      if (!line.empty()) return Got::malformed;
+      continue;
+    }
+    for (std::size_t trailers = 0; trailers < 64; ++trailers) {
+      if (const Got got = read_line(limit, line); got != Got::whole) return got;
+      if (line.empty()) return Got::whole;
+    }
+    return Got::malformed;
+  }
+}
+
+Got Reader::read_to_end(Moment limit, std::size_t most, std::string& body) {
+  buffer_.erase(0, std::exchange(used_, 0));
+  for (;;) {
+    if (buffer_.size() > most) return Got::too_large;
+    switch (read_some(fd_, buffer_, limit)) {
+      case Io::done: break;
+      case Io::late: return Got::late;
+      case Io::broken: return Got::cut;
+      case Io::ended: body = std::exchange(buffer_, {}); return Got::whole;
+    }
+  }
+}
+
+std::optional<Request> read_request(Reader& in, Moment limit, BadRequest& bad) {
+  const auto refuse = [&](int status, std::string_view why) {
+    bad = {status, why};
+    return std::nullopt;
+  };
+  Head head;
+  switch (in.read_head(limit, head)) {
+    case Got::whole: break;
+    case Got::nothing:
+    case Got::cut: return refuse(0, "");
+    case Got::late: return refuse(in.holds_bytes() ? 408 : 0, "the request came too slowly");
+    case Got::malformed: return refuse(400, "malformed head");
+    case Got::too_large: return refuse(431, "head too large");
+  }
+  Request r;
+  r.method = head.first[0];
+  r.target = head.first[1];
+  if (!is_token(r.method) || (head.first[2] != "HTTP/1.1" && head.first[2] != "HTTP/1.0") ||
+      r.target.empty() || r.target[0] != '/')
+    return refuse(400, "malformed first line");
+  r.keep_alive = head.first[2] == "HTTP/1.1" && !head.lists("Connection", "close");
+  // Two lengths, or a length beside chunks, may be read differently behind this node: a second request could
+  // hide in the difference.
+  const std::size_t lengths = head.count("Content-Length");
+  if (lengths > 1 || (lengths > 0 && head.count("Transfer-Encoding") > 0))
+    return refuse(400, "more than one length");
+  if (head.count("Transfer-Encoding") > 0) return refuse(411, "a length is required");
+  if (r.method != "GET" && r.method != "POST") return refuse(405, "GET and POST only");
+  if (lengths == 0 && r.method == "POST") return refuse(411, "a length is required");
+  std::size_t length = 0;
+  if (lengths > 0) {
+    const auto told = parse_digits(head.value("Content-Length"));
+    if (!told) return refuse(400, "malformed length");
+    if (*told > static_cast<std::int64_t>(kMostBody)) return refuse(413, "body too large");
+    length = static_cast<std::size_t>(*told);
+  }
+  const bool own = r.target == kReadyPath || r.target == kCountersPath;
+  if (!own) {
+    if (const std::string_view why = take_fields(head, r); !why.empty()) return refuse(400, why);
+    const std::string_view path = std::string_view(r.target).substr(1);
+    r.workload = path.substr(0, path.find_first_of("/?#"));
+    for (const Header& h : head.headers)
+      if (goes_on(h.name)) r.kept += h.line;
+  }
+  if (length == 0) return r;
+  switch (in.read_body(limit, length, r.body)) {
+    case Got::whole: return r;
+    case Got::late: return refuse(408, "the request came too slowly");
+    default: return refuse(0, "");
+  }
+}
+
+std::string request_bytes(const Request& r, std::int64_t remaining_ms) {
+  return fmt::format("{} {} HTTP/1.1\r\n{}{}: {}\r\n\r\n{}", r.method, r.target, r.kept, kRemaining,
+                     remaining_ms, r.body);
+}
+
+Got read_response(Reader& in, Moment limit, Response& r, std::size_t most) {
+  Head head;
+  for (;;) {
+    const Got got = in.read_head(limit, head);
+    if (got != Got::whole) return got;
+    const auto status = parse_digits(head.first[1]);
+    if (!head.first[0].starts_with("HTTP/1.") || head.first[1].size() != 3 || !status || *status < 100)
+      return Got::malformed;
+    r.status = static_cast<int>(*status);
+    if (r.status == 101) return Got::malformed;
+    if (r.status >= 200) break;
+  }
+  r.turned_away = (r.status == 503 || r.status == 504) && head.value(kTurnedAway) == "1";
+  r.keep_alive = head.first[0] == "HTTP/1.1" && !head.lists("Connection", "close");
+  r.content_type = head.value("Content-Type");
+  if (r.status == 204 || r.status == 304) return Got::whole;
+  const std::size_t lengths = head.count("Content-Length");
+  if (head.count("Transfer-Encoding") > 0) {
+    if (lengths > 0 || !head.lists("Transfer-Encoding", "chunked")) return Got::malformed;
+    return in.read_chunks(limit, most, r.body);
+  }
+  if (lengths == 0) {
+    r.keep_alive = false;
+    return in.read_to_end(limit, most, r.body);
+  }
+  const auto length = parse_digits(head.value("Content-Length"));
+  if (lengths > 1 || !length) return Got::malformed;
+  if (*length > static_cast<std::int64_t>(most)) return Got::too_large;
+  return in.read_body(limit, static_cast<std::size_t>(*length), r.body);
+}
+
+std::string response_bytes(int status, std::string_view content_type, std::string_view body, bool keep_alive,
+                           std::string_view more_headers) {
+  return fmt::format("HTTP/1.1 {} {}\r\n{}{}{}{}{}Content-Length: {}\r\n\r\n{}", status, reason(status),
+                     content_type.empty() ? "" : "Content-Type: ", content_type,
+                     content_type.empty() ? "" : kLineEnd, more_headers,
+                     keep_alive ? "" : "Connection: close\r\n", body.size(), body);
+}
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,181 @@
+#include "net/node.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "log/log.h"
+#include "net/client.h"
+
+namespace troutstage::net {
+namespace {
+
+constexpr Tenths kDay = 24 * 3600 * Tenths{10000};
+constexpr std::size_t kOwnDescriptors = 24;  // listener, watch, logs and what the libraries open
+
+constexpr std::chrono::milliseconds kLook{50};  // how often the listener looks whether it is still wanted
+
+// Clients get half of the descriptors that are left; a hand-off needs one as well.
+std::size_t half_of(std::size_t descriptors) { return (descriptors - kOwnDescriptors) / 2; }
+
+// A connection is retired before the backend closes it: a tenth earlier, and half a second where that is
+// less.
+std::chrono::microseconds idle_limit(Tenths keepalive) {
+  return std::chrono::microseconds(
+      std::max<Tenths>(keepalive / 2, keepalive - std::max<Tenths>(5000, keepalive / 10)) * 100);
+}
+
+}  // namespace
+
+SteadyClock::SteadyClock() : start_(Moment::clock::now()) {
+  const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+  wall_offset_ = kDay - std::chrono::duration_cast<std::chrono::microseconds>(unix_time).count() / 100;
+}
+Tenths SteadyClock::now() const {
+  return kDay +
+         std::chrono::duration_cast<std::chrono::microseconds>(Moment::clock::now() - start_).count() / 100;
+}
+Moment SteadyClock::at(Tenths when) const { return start_ + std::chrono::microseconds((when - kDay) * 100); }
+
+Node::Node(Config config)
+    : config_(std::move(config)), balancer_(config_.settings, clock_),
+      directory_(config_.names, clock_.wall_offset()),
+      pool_(half_of(config_.descriptors), idle_limit(config_.settings.keepalive)), vigil_(balancer_),
+      listener_(listen_on(parse_address(config_.listen))), most_clients_(half_of(config_.descriptors)),
+      workers_(2 * most_clients_), clients_(most_clients_), inner_(5) {
+  Listing known;
+  if (!config_.known.empty()) known = directory_.read(config_.known);
+  watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
+                                   known.version);
+  balancer_.told(ListForm::cached, std::move(known.entries));
+}
+
+Node::~Node() { drain(std::chrono::milliseconds(0)); }
+
+void Node::start() {
+  accept_over_ = false;
+  inner_.run([this] { balancer_.run_ticks(); });
+  inner_.run([this] { watch_->run(); });
+  inner_.run([this] { vigil_.run(); });
+  inner_.run([this] { housekeep(); });
+  inner_.run([this] { accept_all(); });
+  log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
+}
+
+int Node::port() const { return port_of(listener_.get()); }
+
+void Node::accept_all() {
+  for (;;) {
+    {
+      // A descriptor is free before one is taken: accept must not be the call that finds none.
+      std::unique_lock held(lock_);
+      if (open_.size() >= most_clients_ && accepting_) {
+        held.unlock();
+        make_room();
+        held.lock();
+        changed_.wait_for(held, std::chrono::milliseconds(20),
+                          [this] { return open_.size() < most_clients_ || !accepting_; });
+        if (open_.size() >= most_clients_ && accepting_) continue;
+      }
+    }
+    // Once this node accepts no more, those that the system has taken for it already are still served.
+    const bool last = !accepting_;
+    if (!last && wait_readable(listener_.get(), Moment::clock::now() + kLook) != Io::done) continue;
+    const int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd < 0) {
+      if (last) break;
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        make_room();
+        std::unique_lock held(lock_);
+        changed_.wait_for(held, std::chrono::milliseconds(10));
+      }
+      continue;
+    }
+    ++counters_.connections_taken;
+    auto client = std::make_shared<Client>(*this, Fd(fd));
+    const bool started = clients_.run([client] {
+      try {
+        client->serve();
+      } catch (const std::exception& broke) {
+        log::error("client: {}", broke.what());
+      }
+    });
+    if (!started) ++counters_.turned_off_full;
+  }
+  std::lock_guard held(lock_);
+  listener_.reset();
+  accept_over_ = true;
+  changed_.notify_all();
+}
+
+bool Node::make_room() {
+  std::lock_guard held(lock_);
+  Open* oldest = nullptr;
+  for (auto& [id, open] : open_)
+    if (open.idle && (oldest == nullptr || open.since < oldest->since)) oldest = &open;
+  if (oldest == nullptr) return false;
+  oldest->idle = false;
+  ::shutdown(oldest->fd, SHUT_RD);
+  return true;
+}
+
+// Only reading ends: a request that has come meanwhile is still read and answered.
+void Node::close_idle(std::chrono::milliseconds at_least) {
+  std::lock_guard held(lock_);
+  for (auto& [id, open] : open_)
+    if (open.idle && Moment::clock::now() - open.since >= at_least) ::shutdown(open.fd, SHUT_RD);
+}
+
+void Node::housekeep() {
+  std::unique_lock held(lock_);
+  while (!stopped_) {
+    changed_.wait_for(held, std::chrono::milliseconds(250), [this] { return stopped_; });
+    held.unlock();
+    pool_.retire();
+    held.lock();
+  }
+}
+
+std::uint64_t Node::enter(int fd) {
+  std::lock_guard held(lock_);
+  open_[next_id_] = {fd, false, Moment::clock::now()};
+  return next_id_++;
+}
+void Node::set_idle(std::uint64_t id, bool idle) {
+  std::lock_guard held(lock_);
+  Open& open = open_.at(id);
+  open.idle = idle;
+  open.since = Moment::clock::now();
+}
+void Node::leave(std::uint64_t id) {
+  std::lock_guard held(lock_);
+  open_.erase(id);
+  changed_.notify_all();
+}
+
+void Node::drain(std::chrono::milliseconds grace) {
+  if (draining_.exchange(true)) return;
+  log::info("draining");
+  std::unique_lock held(lock_);
+  changed_.wait_for(held, grace, [] { return false; });
+  accepting_ = false;
+  while (!open_.empty() || !accept_over_) {
+    held.unlock();
+    close_idle(std::chrono::milliseconds(0));
+    held.lock();
+    changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_.empty() && accept_over_; });
+  }
+  stopped_ = true;
+  changed_.notify_all();
+  held.unlock();
+  clients_.finish();
+  workers_.finish();
+  balancer_.stop();
+  watch_->stop();
+  vigil_.stop();
+  inner_.finish();
+  log::info("drained");
+}
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/node.h
@@ -0,0 +1,78 @@
+// One node on sockets: its listener, its clients' connections and what they share.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+#include "config/config.h"
+#include "core/balancer.h"
+#include "net/counters.h"
+#include "net/directory.h"
+#include "net/pool.h"
+#include "net/threads.h"
+#include "net/vigil.h"
+#include "net/watch.h"
+
+namespace troutstage::net {
+
+// Steady time, begun far enough from zero that a backend's start can lie before it.
+class SteadyClock : public core::Clock {
+ public:
+  SteadyClock();
+  Tenths now() const override;
+  Moment at(Tenths when) const override;
+  Tenths wall_offset() const { return wall_offset_; }  // from Unix time, as it was when the node started
+
+ private:
+  const Moment start_;
+  Tenths wall_offset_;
+};
+
+class Node {
+ public:
+  explicit Node(Config config);  // listens from here on; throws where it can't
+  ~Node();
+  void start();
+  // Ends gracefully: connections that still come are served for `grace`, all held is answered.
+  void drain(std::chrono::milliseconds grace);
+  int port() const;
+  const Counters& counters() const { return counters_; }
+
+ private:
+  friend class Client;
+  struct Open {  // a client's connection
+    int fd = -1;
+    bool idle = false;
+    Moment since;
+  };
+
+  void accept_all();
+  bool make_room();  // closes the connection of a client that has been idle the longest; false: none is
+  void housekeep();
+  std::uint64_t enter(int fd);
+  void set_idle(std::uint64_t id, bool idle);
+  void leave(std::uint64_t id);
+  void close_idle(std::chrono::milliseconds at_least);
+
+  Config config_;
+  const SteadyClock clock_;
+  core::Balancer balancer_;
+  Counters counters_;
+  Directory directory_;
+  Pool pool_;
+  Vigil vigil_;
+  std::unique_ptr<Watch> watch_;
+  Fd listener_;
+
+  std::mutex lock_;
+  std::condition_variable changed_;
+  std::map<std::uint64_t, Open> open_;
+  std::uint64_t next_id_ = 1;
+  bool stopped_ = false, accept_over_ = true;
+  std::atomic<bool> draining_{false}, accepting_{true};
+  const std::size_t most_clients_;
+  Threads workers_, clients_, inner_;  // the last members: their threads use the others
+};
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/pool.cpp
@@ -0,0 +1,82 @@
+#include "net/pool.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace troutstage::net {
+
+// Closed before it stops counting: the limit is on descriptors.
+Pool::Connection::~Connection() {
+  fd_.reset();
+  if (pool_ == nullptr) return;
+  std::lock_guard held(pool_->lock_);
+  --pool_->open_;
+}
+
+std::optional<Pool::Connection> Pool::idle(Index backend, std::uint64_t address) {
+  // The last one used is taken first, so that those that are too many grow old and go.
+  for (;;) {
+    std::optional<Idle> found;
+    {
+      std::lock_guard held(lock_);
+      const auto at = idle_.find(backend);
+      if (at == idle_.end() || at->second.empty()) return std::nullopt;
+      found.emplace(std::move(at->second.back()));
+      at->second.pop_back();
+    }
+    // A backend closes it at the stated idle time: what is written to it then is lost, and may count as run.
+    if (found->address == address && Moment::clock::now() - found->since < idle_limit_ &&
+        still_quiet(found->connection.fd()))
+      return std::move(found->connection);
+  }
+}
+
+std::optional<Pool::Connection> Pool::fresh() {
+  std::optional<Idle> oldest;  // closed after the lock is free
+  {
+    std::lock_guard held(lock_);
+    if (open_ >= most_) {
+      auto from = idle_.end();
+      for (auto at = idle_.begin(); at != idle_.end(); ++at)
+        if (!at->second.empty() &&
+            (from == idle_.end() || at->second.front().since < from->second.front().since))
+          from = at;
+      if (from == idle_.end()) return std::nullopt;
+      oldest.emplace(std::move(from->second.front()));
+      from->second.pop_front();
+    }
+    ++open_;
+  }
+  oldest.reset();
+  Connection connection(this, new_socket());
+  if (connection.fd() < 0) return std::nullopt;
+  return connection;
+}
+
+void Pool::give_back(Index backend, std::uint64_t address, Connection connection) {
+  std::lock_guard held(lock_);
+  idle_[backend].push_back({address, Moment::clock::now(), std::move(connection)});
+}
+
+void Pool::retire() {
+  std::deque<Idle> old;  // goes after the lock is free: closing counts under it
+  std::lock_guard held(lock_);
+  const Moment before = Moment::clock::now() - idle_limit_;
+  for (auto& [backend, all] : idle_) {
+    while (!all.empty() && all.front().since <= before) {
+      old.push_back(std::move(all.front()));
+      all.pop_front();
+    }
+  }
+}
+
+void Pool::forget(Index backend) {
+  std::deque<Idle> gone;
+  {
+    std::lock_guard held(lock_);
+    const auto at = idle_.find(backend);
+    if (at != idle_.end()) gone.swap(at->second);
+  }
+}
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/pool.h
@@ -0,0 +1,54 @@
+// The connections to backends: how many there may be, and those that nothing uses.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "decide.h"
+#include "net/socket.h"
+
+namespace troutstage::net {
+
+class Pool {
+ public:
+  // A connection that counts against the limit for as long as it is there.
+  class Connection {
+   public:
+    Connection(Connection&& o) noexcept : pool_(std::exchange(o.pool_, nullptr)), fd_(std::move(o.fd_)) {}
+    Connection& operator=(Connection&&) = delete;
+    ~Connection();
+    int fd() const { return fd_.get(); }
+
+   private:
+    friend class Pool;
+    Connection(Pool* pool, Fd fd) : pool_(pool), fd_(std::move(fd)) {}
+    Pool* pool_;
+    Fd fd_;
+  };
+
+  Pool(std::size_t most, std::chrono::steady_clock::duration idle_limit)
+      : most_(most), idle_limit_(idle_limit) {}
+
+  std::optional<Connection> idle(Index backend, std::uint64_t address);  // one that is open and quiet
+  std::optional<Connection> fresh();  // a socket not yet connected; nothing where no more may be had
+  void give_back(Index backend, std::uint64_t address, Connection connection);
+  void retire();               // closes what has been idle for too long
+  void forget(Index backend);  // closes all idle ones of a backend
+
+ private:
+  struct Idle {
+    std::uint64_t address;
+    Moment since;
+    Connection connection;
+  };
+  std::mutex lock_;
+  const std::size_t most_;
+  const std::chrono::steady_clock::duration idle_limit_;
+  std::size_t open_ = 0;
+  std::map<Index, std::deque<Idle>> idle_;  // the newest last
+};
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/protocol.h
@@ -0,0 +1,22 @@
+// The names of our own protocol, as they stand on the sockets.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace troutstage::net {
+
+inline constexpr std::string_view kTransaction = "X-Txn";
+inline constexpr std::string_view kTenant = "X-Org";
+inline constexpr std::string_view kRemaining = "X-Remaining-Ms";
+inline constexpr std::string_view kLabel = "Idempotency-Key";
+inline constexpr std::string_view kRepeat = "X-Resent";
+inline constexpr std::string_view kHint = "X-Estimate";  // in microseconds
+inline constexpr std::string_view kTurnedAway = "X-Turned-Away";
+inline constexpr std::string_view kReadyPath = "/up";
+inline constexpr std::string_view kCountersPath = "/counters";
+
+inline constexpr std::size_t kMostBody = 64 * 1024;
+inline constexpr std::size_t kMostHead = 16 * 1024;
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/src/net/vigil.cpp
@@ -0,0 +1,63 @@
+#include "net/vigil.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace troutstage::net {
+
+Vigil::Vigil(core::Balancer& balancer)
+    : balancer_(balancer), poll_(::epoll_create1(EPOLL_CLOEXEC)), wake_(::eventfd(0, EFD_CLOEXEC)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  if (!poll_ || !wake_ || ::epoll_ctl(poll_.get(), EPOLL_CTL_ADD, wake_.get(), &event) != 0)
+    throw std::system_error(errno, std::generic_category(), "can't watch clients");
+}
+
+void Vigil::run() {
+  for (;;) {
+    std::array<epoll_event, 32> events{};
+    const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()), -1);
+    if (n < 0 && errno != EINTR) return;
+    for (int i = 0; i < n; ++i) {
+      const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
+      if (id == 0) return;
+      core::Ticket ticket;
+      {
+        std::lock_guard held(lock_);
+        const auto at = watched_.find(id);
+        if (at != watched_.end()) ticket = at->second;
+      }
+      if (ticket) balancer_.client_gone(ticket);
+    }
+  }
+}
+
+void Vigil::stop() {
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
+}
+
+Vigil::Over::Over(Vigil& vigil, int fd, core::Ticket ticket) : vigil_(vigil), fd_(fd) {
+  {
+    std::lock_guard held(vigil_.lock_);
+    id_ = vigil_.next_++;
+    vigil_.watched_.emplace(id_, std::move(ticket));
+  }
+  epoll_event event{};
+  event.events = EPOLLRDHUP | EPOLLONESHOT;
+  event.data.u64 = id_;
+  ::epoll_ctl(vigil_.poll_.get(), EPOLL_CTL_ADD, fd_, &event);
+}
+
+Vigil::Over::~Over() {
+  ::epoll_ctl(vigil_.poll_.get(), EPOLL_CTL_DEL, fd_, nullptr);
+  std::lock_guard held(vigil_.lock_);
+  vigil_.watched_.erase(id_);
+}
+
+}  // namespace troutstage::net
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -9,13 +9,6 @@
 
 constexpr std::int64_t kMicrosInTenth = 100;
 
-template <class Value, std::size_t N>
-Value word(std::string_view text, const std::pair<std::string_view, Value> (&known)[N], const char* what) {
-  for (const auto& [name, value] : known)
-    if (name == text) return value;
-  throw Malformed("unknown " + std::string(what) + " '" + std::string(text) + "'");
-}
-
 constexpr std::pair<std::string_view, Ending> kEndings[] = {{"OK", Ending::succeeded},
                                                             {"INTERNAL", Ending::error},
                                                             {"RESOURCE_EXHAUSTED", Ending::turned_away},
@@ -31,70 +24,15 @@
                                                             {"full", ListForm::full},
                                                             {"cached", ListForm::cached},
                                                             {"failed", ListForm::failed}};
-constexpr std::pair<std::string_view, Semantics> kSemantics[] = {
-    {"repeatable", Semantics::redoable}, {"by_key", Semantics::labelled}, {"once", Semantics::irreversible}};
-constexpr std::pair<std::string_view, Group> kGroups[] = {
-    {"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}};
 constexpr std::pair<std::string_view, bool> kBools[] = {
     {"1", true}, {"0", false}, {"true", true}, {"false", false}};
 
-double real_number(std::string_view text, const char* what) {
-  double value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !(value > -1e15 && value < 1e15))
-    throw Malformed(std::string(what) + " is no number: '" + std::string(text) + "'");
-  return value;
-}
-
-Tenths tenths(std::string_view text, const char* what) {
-  return text == "-" ? 0 : whole_number(text, what) / kMicrosInTenth;
-}
-
 void expect_fields(const Fields& fields, std::size_t least, std::size_t most) {
   if (fields.size() < least || fields.size() > most)
     throw Malformed(std::string(fields[0]) + " has " + std::to_string(fields.size() - 1) + " fields, not " +
                     std::to_string(least - 1));
 }
 
-Index named(std::map<std::string, Index, std::less<>>& names, std::string_view name) {
-  auto found = names.find(name);
-  if (found != names.end()) return found->second;
-  return names.emplace(std::string(name), static_cast<Index>(names.size())).first->second;
-}
-
-class Pairs {
- public:
-  explicit Pairs(const Fields& fields) {
-    for (std::size_t i = 3; i < fields.size(); ++i) {
-      auto equals = fields[i].find('=');
-      if (equals == std::string_view::npos)
-        throw Malformed("setting without '=': '" + std::string(fields[i]) + "'");
-      values_.insert_or_assign(std::string(fields[i].substr(0, equals)), fields[i].substr(equals + 1));
-    }
-  }
-  std::string_view text(const std::string& path) const {
-    auto found = values_.find(path);
-    if (found == values_.end()) throw Malformed("setting " + path + " is missing");
-    return found->second;
-  }
-  std::string_view text_or(const std::string& path, std::string_view fallback) const {
-    auto found = values_.find(path);
-    return found == values_.end() ? fallback : found->second;
-  }
-  double real(const std::string& path) const { return real_number(text(path), path.c_str()); }
-  Tenths span(const std::string& path) const { return tenths(text(path), path.c_str()); }
-  bool flag(const std::string& path) const { return word(text(path), kBools, path.c_str()); }
-  int count(const std::string& path, std::string_view fallback = "") const {
-    std::string_view value = fallback.empty() ? text(path) : text_or(path, fallback);
-    std::int64_t n = whole_number(value, path.c_str());
-    if (n < 0 || n > 1000000) throw Malformed(path + " is out of range");
-    return static_cast<int>(n);
-  }
-
- private:
-  std::map<std::string, std::string_view> values_;
-};
-
 }  // namespace
 
 Fields split(std::string_view line) {
@@ -107,62 +45,20 @@
   }
 }
 
-std::int64_t whole_number(std::string_view text, const char* what) {
-  std::int64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size())
-    throw Malformed(std::string(what) + " is no whole number: '" + std::string(text) + "'");
-  return value;
-}
-
-Settings read_settings(const Fields& fields, Names& names) {
-  Pairs pairs(fields);
-  Settings s;
+Settings read_configure(const Fields& fields, Names& names) {
   std::uint64_t seed = 0;
   auto [end, error] = std::from_chars(fields[2].data(), fields[2].data() + fields[2].size(), seed);
   if (error != std::errc() || end != fields[2].data() + fields[2].size())
     throw Malformed("prng is no whole number: '" + std::string(fields[2]) + "'");
-  s.seed = seed;
-  s.zone = named(names.zones, pairs.text("zone"));
-  s.nodes = pairs.count("instances");
-  s.max_hand_offs = pairs.count("bounds.max-hand-offs");
-  s.must_ask = pairs.text("discovery") == "on_request";
-  s.may_recall = pairs.flag("bounds.cancel");
-  s.may_probe = pairs.flag("bounds.probes");
-  s.second_copies = pairs.flag("bounds.second-copies");
-  s.client_heeds_retry_in = pairs.flag("bounds.retry-after");
-  s.max_retry_in = pairs.span("bounds.max-retry-after");
-  s.value_by_work = pairs.text_or("billing-value-basis", "request") == "work";
-  s.beyond_share_value =
-      real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
-  s.tick = pairs.span("tick");
-  s.connect_timeout = pairs.span("bounds.connect-timeout");
-  s.keepalive = tenths(pairs.text_or("bounds.keepalive", "0"), "bounds.keepalive");
-  s.drain_grace = pairs.span("rules.drain-grace");
-  s.ask_within = pairs.span("rules.ask-within");
-  s.fall_window = pairs.span("rules.fall");
-  s.warm_within = pairs.span("rules.warm-within");
-  s.fall_multiple = pairs.real("rules.fall-multiple");
-  s.cold_from = pairs.real("rules.cold-from");
-  for (int i = 0, n = pairs.count("workloads.count"); i < n; ++i) {
-    std::string at = "workloads." + std::to_string(i) + ".";
-    Workload w;
-    w.semantics = word(pairs.text(at + "semantics"), kSemantics, "semantics");
-    w.group = word(pairs.text_or(at + "group", "all"), kGroups, "group");
-    w.window = tenths(pairs.text_or(at + "window", "0"), "window");
-    w.due_time = pairs.span(at + "due-time");
-    w.time_limit = pairs.span(at + "time-limit");
-    w.billing_value = pairs.real(at + "billing-value");
-    w.overdue_share = real_number(pairs.text_or(at + "overdue-billing-value", "0"), "overdue-billing-value");
-    names.workloads.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
-    s.workloads.push_back(w);
-  }
-  for (int i = 0, n = pairs.count("tenants.count", "0"); i < n; ++i) {
-    std::string at = "tenants." + std::to_string(i) + ".";
-    names.tenants.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
-    s.tenants.push_back({pairs.real(at + "share"), pairs.real(at + "quota-per-s")});
-  }
-  return s;
+  Pairs pairs;
+  for (std::size_t i = 3; i < fields.size(); ++i) {
+    const auto equals = fields[i].find('=');
+    if (equals == std::string_view::npos)
+      throw Malformed("setting without '=': '" + std::string(fields[i]) + "'");
+    pairs.insert_or_assign(std::string(fields[i].substr(0, equals)),
+                           std::string(fields[i].substr(equals + 1)));
+  }
+  return read_settings(pairs, seed, names);
 }
 
 Index Ids::backend(std::string_view id, bool may_be_new) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -1,32 +1,21 @@
 // Between the lines of the wire and the module's types. No decisions are made here.
 #pragma once
 
-#include <map>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include "decide.h"
+#include "core/settings.h"
 
 namespace troutstage::wire {
 
-// A line that breaks the wire's grammar; the text says how.
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 using Fields = std::vector<std::string_view>;
 Fields split(std::string_view line);
-std::int64_t whole_number(std::string_view text, const char* what);
 
 // The settings of a CONFIGURE line, and the names that later lines use.
-struct Names {
-  std::map<std::string, Index, std::less<>> workloads, tenants, zones, kinds;
-};
-Settings read_settings(const Fields& fields, Names& names);
+Settings read_configure(const Fields& fields, Names& names);
 
 // Small indices for one instance's ids, both ways.
 class Ids {
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -12,7 +12,7 @@
 
 // One instance of the decisions with its own ids: nothing is shared between two of them.
 struct Instance {
-  wire::Names names;
+  Names names;
   wire::Ids ids;
   Decider decider;
 };
@@ -29,9 +29,9 @@
     line_number_ = 0;
     if (!next_line()) return false;
     wire::Fields tick = wire::split(line_);
-    if (tick.size() != 3 || tick[0] != "TICK") throw wire::Malformed("TICK with 2 fields expected");
-    now_ = wire::whole_number(tick[1], "clock") / 100;
-    batch_ = wire::whole_number(tick[2], "batch number");
+    if (tick.size() != 3 || tick[0] != "TICK") throw Malformed("TICK with 2 fields expected");
+    now_ = whole_number(tick[1], "clock") / 100;
+    batch_ = whole_number(tick[2], "batch number");
     reply_.clear();
     while (need_line(), line_ != "END") event();
     reply_ += "ACK\t" + std::to_string(batch_) + "\n";
@@ -46,18 +46,18 @@
     return true;
   }
   void need_line() {
-    if (!next_line()) throw wire::Malformed("input ends inside a batch");
+    if (!next_line()) throw Malformed("input ends inside a batch");
   }
 
   void event() {
     std::string held = line_;
     wire::Fields fields = wire::split(held);
-    if (fields.size() < 2) throw wire::Malformed("unknown message '" + held + "'");
+    if (fields.size() < 2) throw Malformed("unknown message '" + held + "'");
     const std::string node(fields[1]);
     if (fields[0] == "CONFIGURE") {
-      if (fields.size() < 3) throw wire::Malformed("CONFIGURE lacks its seed");
-      wire::Names names;
-      Settings settings = wire::read_settings(fields, names);
+      if (fields.size() < 3) throw Malformed("CONFIGURE lacks its seed");
+      Names names;
+      Settings settings = wire::read_configure(fields, names);
       instances_.erase(node);
       guarded(node, [&] {
         Decider decider(settings, now_);
@@ -71,10 +71,10 @@
       rows.push_back(line_);
     }
     auto at = instances_.find(node);
-    if (at == instances_.end()) throw wire::Malformed("unknown instance '" + node + "'");
+    if (at == instances_.end()) throw Malformed("unknown instance '" + node + "'");
     if (fields[0] == "KILLED") {
       if (fields.size() != 2)
-        throw wire::Malformed("KILLED has " + std::to_string(fields.size() - 1) + " fields, not 1");
+        throw Malformed("KILLED has " + std::to_string(fields.size() - 1) + " fields, not 1");
       instances_.erase(at);
       return;
     }
@@ -118,7 +118,7 @@
     while (host.play_batch()) {
     }
     return 0;
-  } catch (const wire::Malformed& broken) {
+  } catch (const Malformed& broken) {
     complaints << "troutstage_wirehost: " << host.where() << ": " << broken.what() << std::endl;
     return 1;
   }
