An exception ends one invocation, not the node; memory bounds clients; bad entries left out

A job's exception went through pthread's entry and would have ended the process (threads.cpp); it is logged now, and the invocation whose thread it was is answered 500, or its waiting pick() ends as a giving up. One list entry that can't be read made the whole list a failed watch, asked for again for ever; it is left out. Accept without a descriptor is counted and tried again.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -51,8 +51,12 @@
     c.listen = json.value("listen", "");
     c.discovery = json.value("discovery", "");
     if (json.contains("known")) c.known = json.at("known").dump();
-    if (json.contains("limits")) c.descriptors = json.at("limits").value("sockets", c.descriptors);
+    if (json.contains("limits")) {
+      c.descriptors = json.at("limits").value("sockets", c.descriptors);
+      c.memory_mb = json.at("limits").value("memory_mb", c.memory_mb);
+    }
     if (c.descriptors < 32 || c.descriptors > 1000000) throw Malformed("limits.sockets is out of range");
+    if (c.memory_mb < 8 || c.memory_mb > 1000000) throw Malformed("limits.memory_mb is out of range");
     Pairs pairs;
     flatten("", json.at("settings"), pairs);
     c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : 0, c.names);
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -50,7 +50,12 @@
   const Tenths took = clock_.now() - ticket->handed_off.at(static_cast<std::size_t>(number)).at;
   // The answer is set first: what the module does on this ending comes too late to be another one.
   if (wins) seal(*ticket);
-  tell(held, HandOffEnded{ticket->index, number, ending, ticket->final, took, -1});
+  try {
+    tell(held, HandOffEnded{ticket->index, number, ending, ticket->final, took, -1});
+  } catch (...) {  // whoever waits in pick() must not wait for ever
+    if (!ticket->final) seal(*ticket), add_step(*ticket, {Next::give_up, 0, kNone, 0, 0});
+    if (!wins) throw;
+  }
   if (!wins) return;
   ticket->steps.push_back({Next::succeeded, number, kNone, 0, 0});
   ticket->changed.notify_one();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,7 +28,14 @@
   const std::string path =
       given.count("config") ? given["config"].as<std::string>() : environment("RELAY_CONFIG");
   if (path.empty()) throw Malformed("no configuration: give --config FILE or set RELAY_CONFIG");
-  Config config = read_config(read_file(path));
+  const std::string text = read_file(path);
+  Config config = [&] {
+    try {
+      return read_config(text);
+    } catch (const Malformed& wrong) {
+      throw Malformed("configuration '" + path + "': " + wrong.what());
+    }
+  }();
   const auto over = [&](std::string& value, const char* variable, const char* option) {
     if (const std::string told = environment(variable); !told.empty()) value = told;
     if (given.count(option)) value = given[option].as<std::string>();
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -18,7 +18,6 @@
 }  // namespace
 
 struct Client::Work {
-  Node& node;
   const Request request;
   core::Ticket ticket;
   std::deque<std::shared_ptr<Exchange>> exchanges;  // by number; only the client's thread changes it
@@ -40,7 +39,7 @@
       ++node_.counters_.bad_requests;
       log::debug("bad request: {}", bad.why);
       // What follows on this connection can't be told apart any more.
-      reply(bad.status, bad.why, false);
+      reply(bad.status, fmt::format("{}\n", bad.why), false);
       return;
     }
     if (!answer(*request, node_.clock_.now())) return;
@@ -77,53 +76,78 @@
   demand.client_repeat = request.client_repeat;
   const bool wants_more = request.keep_alive;
   ++node_.counters_.taken;
-  auto work = std::make_shared<Work>(Work{node_, std::move(request), node_.balancer_.take(demand), {}});
-  const Vigil::Over vigil(node_.vigil_, fd_.get(), work->ticket);
-  for (;;) {
-    const core::Step step = node_.balancer_.pick(work->ticket);
-    const bool keep = wants_more && !node_.draining_;
-    switch (step.what) {
-      case core::Next::hand_off: hand_off(work, step); break;
-      case core::Next::recall: work->exchanges.at(static_cast<std::size_t>(step.number))->recall(); break;
-      case core::Next::succeeded: {
-        ++node_.counters_.succeeded;
-        const Response& r = work->exchanges.at(static_cast<std::size_t>(step.number))->answer();
-        return write(response_bytes(200, r.content_type, r.body, keep)) && keep;
-      }
-      case core::Next::reject:
-        ++node_.counters_.rejected;
-        return reply(503, "rejected\n", keep,
-                     step.retry_in > 0
-                         ? fmt::format("Retry-After: {:.4f}\r\n", static_cast<double>(step.retry_in) / 1e4)
-                         : "");
-      case core::Next::give_up: ++node_.counters_.given_up; return reply(502, "given up\n", keep);
-      case core::Next::gone: ++node_.counters_.client_gone; return false;
+  core::Ticket ticket;
+  try {
+    ticket = node_.balancer_.take(demand);
+    const Vigil::Over vigil(node_.vigil_, fd_.get(), ticket);
+    const auto work = std::make_shared<Work>(Work{std::move(request), ticket, {}});
+    for (;;) {
+      const core::Step step = node_.balancer_.pick(ticket);
+      if (step.what == core::Next::hand_off) hand_off(work, step);
+      else if (step.what == core::Next::recall) recall(*work, step.number);
+      else return end(*work, step, wants_more && !node_.draining_);
     }
+  } catch (const std::exception& broke) {  // ends this invocation, with an answer that promises nothing
+    log::error("invocation: {}", broke.what());
+    ++node_.counters_.broke_inside;
+    if (ticket) node_.balancer_.client_gone(ticket);
+    return reply(500, "broke inside\n", false);
   }
 }
 
+void Client::recall(const Work& work, int number) {
+  const auto n = static_cast<std::size_t>(number);
+  if (n < work.exchanges.size() && work.exchanges[n]) work.exchanges[n]->recall();
+}
+
+// Writes an invocation's one answer.
+bool Client::end(const Work& work, const core::Step& step, bool keep) {
+  std::string bytes;
+  Counters::Count* counted = &node_.counters_.given_up;
+  if (step.what == core::Next::succeeded) {
+    counted = &node_.counters_.succeeded;
+    const Response& r = work.exchanges.at(static_cast<std::size_t>(step.number))->answer();
+    bytes = response_bytes(200, r.content_type, r.body, keep);
+  } else if (step.what == core::Next::reject) {
+    counted = &node_.counters_.rejected;
+    const auto retry = fmt::format("Retry-After: {:.4f}\r\n", static_cast<double>(step.retry_in) / 1e4);
+    bytes = response_bytes(503, kText, "rejected\n", keep, step.retry_in > 0 ? retry : "");
+  } else if (step.what == core::Next::gone) {
+    return ++node_.counters_.client_gone, false;
+  } else {
+    bytes = response_bytes(502, kText, "given up\n", keep);
+  }
+  ++*counted;
+  return write(bytes) && keep;
+}
+
 // Each hand-off blocks in a thread of its own, so that the client's own thread is free for what is next.
 void Client::hand_off(const std::shared_ptr<Work>& work, const core::Step& step) {
   Node& node = node_;
   ++node.counters_.handed_off;
   const std::chrono::microseconds connect_limit(node.config_.settings.connect_timeout * 100);
-  auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, connect_limit);
-  work->exchanges.resize(static_cast<std::size_t>(step.number) + 1);
-  work->exchanges.back() = exchange;
   const auto over = [&node, work, number = step.number](Ended ended) {
     node.counters_.count(ended);
     node.balancer_.report(work->ticket, number, outcome(ended));
   };
-  const auto target = node.directory_.find(step.backend);
-  const bool started = target && node.workers_.run([=, &node, until = node.clock_.at(step.until)] {
-    Ended ended = Ended::cut_after_sent;  // where it broke is not known then, so it may have run
-    try {
-      ended = exchange->run(work->request, *target, until);
-    } catch (const std::exception& broke) {
-      log::error("exchange: {}", broke.what());
-    }
-    over(ended);
-  });
+  bool started = false;
+  try {
+    const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, connect_limit);
+    work->exchanges.resize(static_cast<std::size_t>(step.number) + 1);
+    work->exchanges.back() = exchange;
+    const auto target = node.directory_.find(step.backend);
+    started = target && node.workers_.run([=, until = node.clock_.at(step.until)] {
+      Ended ended = Ended::cut_after_sent;  // where it broke is not known then, so it may have run
+      try {
+        ended = exchange->run(work->request, *target, until);
+      } catch (const std::exception& broke) {
+        log::error("exchange: {}", broke.what());
+      }
+      over(ended);
+    });
+  } catch (const std::exception& broke) {
+    log::error("hand-off: {}", broke.what());
+  }
   if (!started) over(Ended::no_room);
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -19,6 +19,8 @@
 
   bool answer(const Request& request, Tenths arrived);
   bool invoke(Request request, Tenths arrived);
+  bool end(const Work& work, const core::Step& step, bool keep);
+  void recall(const Work& work, int number);
   void hand_off(const std::shared_ptr<Work>& work, const core::Step& step);
   bool write(const std::string& bytes);
   bool reply(int status, std::string_view text, bool keep_alive, std::string_view headers = "");
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -25,6 +25,7 @@
   line("out", sent - over);
   for (std::size_t i = 0; i < ended.size(); ++i) line(fmt::format("ended_{}", kEndedNames[i]), ended[i]);
   line("connections_taken", connections_taken);
+  line("accepts_failed", accepts_failed);
   line("connections_opened", connections_opened);
   line("bad_requests", bad_requests);
   line("turned_off_full", turned_off_full);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -18,7 +18,8 @@
   // Every hand-off ends in one of the ways of Ended, or is still out.
   Count handed_off{0};
   std::array<Count, kEndedNames.size()> ended{};
-  Count connections_taken{0}, connections_opened{0}, bad_requests{0}, turned_off_full{0}, answers_unread{0};
+  Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, bad_requests{0}, turned_off_full{0},
+      answers_unread{0};
   Count watches{0}, watches_failed{0};
 
   void count(Ended how) { ++ended[static_cast<std::size_t>(how)]; }
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -1,6 +1,8 @@
 #include "net/directory.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+
+#include "log/log.h"
 
 namespace troutstage::net {
 namespace {
@@ -18,20 +20,12 @@
     list.full = json.at("full").get<bool>();
     std::lock_guard held(lock_);
     for (const auto& one : json.at("servers")) {
-      ListEntry e;
-      e.availability = word(one.at("state").get<std::string>(), kStates, "state");
-      const sockaddr_in address = parse_address(one.at("addr").get<std::string>());
-      e.kind = named(names_.kinds, one.value("kind", ""));
-      e.zone = named(names_.zones, one.value("zone", ""));
-      e.cell = one.value("cell", std::int64_t{-1});
-      e.weight = one.value("weight", 1.0);
-      const auto started_ms = one.value("started_ms", std::int64_t{0});
-      // What started before this node's time began is as good as long ago.
-      if (started_ms > 0) e.started_at = std::max<Tenths>(0, started_ms * 10 + wall_offset_);
-      e.backend = named(indices_, one.at("id").get<std::string>());
-      addresses_.resize(indices_.size());
-      addresses_[e.backend] = address;
-      list.entries.push_back(e);
+      // One entry that can't be read must not hide the others.
+      try {
+        list.entries.push_back(read_entry(one));
+      } catch (const std::exception& broken) {
+        log::warning("list: entry left out: {}", broken.what());
+      }
     }
     return list;
   } catch (const nlohmann::json::exception& broken) {
@@ -39,6 +33,23 @@
   }
 }
 
+ListEntry Directory::read_entry(const nlohmann::json& one) {
+  ListEntry e;
+  e.availability = word(one.at("state").get<std::string>(), kStates, "state");
+  const sockaddr_in address = parse_address(one.at("addr").get<std::string>());
+  e.kind = named(names_.kinds, one.value("kind", ""));
+  e.zone = named(names_.zones, one.value("zone", ""));
+  e.cell = one.value("cell", std::int64_t{-1});
+  e.weight = one.value("weight", 1.0);
+  const auto started_ms = one.value("started_ms", std::int64_t{0});
+  // What started before this node's time began is as good as long ago.
+  if (started_ms > 0) e.started_at = std::max<Tenths>(0, started_ms * 10 + wall_offset_);
+  e.backend = named(indices_, one.at("id").get<std::string>());
+  addresses_.resize(indices_.size());
+  addresses_[e.backend] = address;
+  return e;
+}
+
 std::optional<Target> Directory::find(Index backend) {
   std::lock_guard held(lock_);
   if (backend >= addresses_.size()) return std::nullopt;
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,7 @@
   std::optional<Target> find(Index backend);
 
  private:
+  ListEntry read_entry(const nlohmann::json& one);
   std::mutex lock_;
   Names& names_;
   const Tenths wall_offset_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -177,8 +177,12 @@
   buffer_.erase(0, std::exchange(used_, 0));
   const Got got = more(limit, size);
   if (got != Got::whole) return got == Got::nothing ? Got::cut : got;
-  body.append(buffer_, 0, size);
-  buffer_.erase(0, size);
+  if (buffer_.size() == size && body.empty()) {
+    body = std::exchange(buffer_, {});  // a large buffer is not kept while nothing comes
+  } else {
+    body.append(buffer_, 0, size);
+    buffer_.erase(0, size);
+  }
   return Got::whole;
 }
 
@@ -277,6 +281,10 @@
       if (goes_on(h.name)) r.kept += h.line;
   }
   if (length == 0) return r;
+  // The client may wait for a word before it sends the body.
+  if (head.lists("Expect", "100-continue") && !in.holds_bytes() &&
+      !in.reply("HTTP/1.1 100 Continue\r\n\r\n", limit))
+    return refuse(0, "");
   switch (in.read_body(limit, length, r.body)) {
     case Got::whole: return r;
     case Got::late: return refuse(408, "the request came too slowly");
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -44,6 +44,7 @@
  public:
   explicit Reader(int fd) : fd_(fd) {}
   bool holds_bytes() const { return buffer_.size() > used_; }  // beyond the last message
+  bool reply(std::string_view bytes, Moment limit) { return write_all(fd_, bytes, limit) == Io::done; }
   Got read_head(Moment limit, Head& head);  // the views hold until the next call
   Got read_body(Moment limit, std::size_t size, std::string& body);
   Got read_chunks(Moment limit, std::size_t most, std::string& body);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -7,6 +7,7 @@
 
 #include "log/log.h"
 #include "net/client.h"
+#include "net/protocol.h"
 
 namespace troutstage::net {
 namespace {
@@ -16,8 +17,13 @@
 
 constexpr std::chrono::milliseconds kLook{50};  // how often the listener looks whether it is still wanted
 
-// Clients get half of the descriptors that are left; a hand-off needs one as well.
-std::size_t half_of(std::size_t descriptors) { return (descriptors - kOwnDescriptors) / 2; }
+// Clients get half of the descriptors that are left; a hand-off needs one as well. With the largest bodies
+// each takes six times that size, on the way in and out: that many must fit into two thirds of the memory.
+std::size_t most_clients(const Config& config) {
+  constexpr std::size_t kDearest = 6 * kMostBody + 64 * 1024;
+  return std::max<std::size_t>(2, std::min((config.descriptors - kOwnDescriptors) / 2,
+                                           config.memory_mb * 1024 * 1024 / 3 * 2 / kDearest));
+}
 
 // A connection is retired before the backend closes it: a tenth earlier, and half a second where that is
 // less.
@@ -41,9 +47,9 @@
 Node::Node(Config config)
     : config_(std::move(config)), balancer_(config_.settings, clock_),
       directory_(config_.names, clock_.wall_offset()),
-      pool_(half_of(config_.descriptors), idle_limit(config_.settings.keepalive)), vigil_(balancer_),
-      listener_(listen_on(parse_address(config_.listen))), most_clients_(half_of(config_.descriptors)),
-      workers_(2 * most_clients_), clients_(most_clients_), inner_(5) {
+      pool_(most_clients(config_), idle_limit(config_.settings.keepalive)), vigil_(balancer_),
+      listener_(listen_on(parse_address(config_.listen))), most_clients_(most_clients(config_)),
+      workers_(2 * most_clients_), clients_(2 * most_clients_), inner_(5) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
@@ -55,11 +61,10 @@
 
 void Node::start() {
   accept_over_ = false;
-  inner_.run([this] { balancer_.run_ticks(); });
-  inner_.run([this] { watch_->run(); });
-  inner_.run([this] { vigil_.run(); });
-  inner_.run([this] { housekeep(); });
-  inner_.run([this] { accept_all(); });
+  if (!inner_.run([this] { balancer_.run_ticks(); }) || !inner_.run([this] { watch_->run(); }) ||
+      !inner_.run([this] { vigil_.run(); }) || !inner_.run([this] { housekeep(); }) ||
+      !inner_.run([this] { accept_all(); }))
+    throw std::runtime_error("can't start the node's threads");
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
 
@@ -86,6 +91,7 @@
     if (fd < 0) {
       if (last) break;
       if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        ++counters_.accepts_failed;
         make_room();
         std::unique_lock held(lock_);
         changed_.wait_for(held, std::chrono::milliseconds(10));
@@ -93,14 +99,13 @@
       continue;
     }
     ++counters_.connections_taken;
-    auto client = std::make_shared<Client>(*this, Fd(fd));
-    const bool started = clients_.run([client] {
-      try {
-        client->serve();
-      } catch (const std::exception& broke) {
-        log::error("client: {}", broke.what());
-      }
-    });
+    bool started = false;
+    try {
+      const auto client = std::make_shared<Client>(*this, Fd(fd));
+      started = clients_.run([client] { client->serve(); });
+    } catch (const std::exception& broke) {
+      log::error("client: {}", broke.what());
+    }
     if (!started) ++counters_.turned_off_full;
   }
   std::lock_guard held(lock_);
--- a/src/net/threads.cpp
+++ b/src/net/threads.cpp
@@ -3,6 +3,9 @@
 #include <pthread.h>
 
 #include <chrono>
+#include <exception>
+
+#include "log/log.h"
 
 namespace troutstage::net {
 namespace {
@@ -56,7 +59,11 @@
     std::function<void()> job = std::move(jobs_.front());
     jobs_.pop_front();
     held.unlock();
-    job();
+    try {
+      job();
+    } catch (const std::exception& broke) {  // must not end the process, and with it all that is held
+      log::error("thread: {}", broke.what());
+    }
     job = nullptr;  // what it holds goes before the next wait
     held.lock();
   }
--- a/src/net/threads.h
+++ b/src/net/threads.h
@@ -12,8 +12,9 @@
  public:
   explicit Threads(std::size_t most) : most_(most) {}
   ~Threads() { finish(); }
-  bool run(std::function<void()> job);  // false: no thread is to be had. A job must not throw
-  void finish();                        // waits until every job is done
+  // False: no thread is to be had. What a job throws is logged and ends only that job.
+  bool run(std::function<void()> job);
+  void finish();  // waits until every job is done
 
  private:
   static void* enter(void* self);
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::chrono::milliseconds kWait{20000};     // what discovery is asked to wait at the most
 constexpr std::chrono::milliseconds kPatience{2000};  // for a connection, and for an answer after that wait
-constexpr std::size_t kMostList = 16 * 1024 * 1024;
+constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 }  // namespace
 
@@ -52,8 +52,9 @@
       Response r;
       const Got got = read_response(in, Moment::clock::now() + kWait + kPatience, r, kMostList);
       if (got != Got::whole || r.status != 200) {
-        log::info("discovery: {}",
-                  got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
+        if (hold(-1))
+          log::info("discovery: {}",
+                    got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
         // A first call that fails is a failure; an old connection may just have been closed between two
         // calls.
         if (got == Got::whole) answered = false;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include "net/exchange.h"
 #include "stand_in.h"
 
@@ -165,7 +167,8 @@
   Visitor visitor(fleet.node);
   for (int i = 0; i < 10; ++i) {
     const int status = visitor.ask(request("pay")).status;
-    CHECK((status == 200 || (status == 503 && full.calls() > 1)));  // 503 only where all that was tried was full
+    CHECK((status == 200 ||
+           (status == 503 && full.calls() > 1)));  // 503 only where all that was tried was full
   }
   CHECK(backend.calls() > 5);
 }
@@ -316,4 +319,55 @@
   go_on.set();
   threads.finish();
   CHECK(done == 2);
+  // What a job throws ends neither the process nor the thread's use.
+  CHECK(threads.run([] { throw std::runtime_error("as the test wants it"); }));
+  CHECK(threads.run([&] { ++done; }));
+  threads.finish();
+  CHECK(done == 3);
+}
+
+TEST_CASE("with no descriptor left a node goes on, and serves once there is one", "[net]") {
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()});
+  CHECK(Visitor(fleet.node).ask(request("view")).status == 200);
+  rlimit before{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+  rlimit few = before;
+  few.rlim_cur = 256;
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &few) == 0);
+  std::vector<Fd> fill;
+  for (int fd = 0; (fd = ::dup(0)) >= 0;) fill.emplace_back(fd);
+  fill.pop_back();
+  Visitor visitor(fleet.node);  // takes the last one
+  visitor.send(request("view"));
+  while (fleet.node.counters().accepts_failed == 0) std::this_thread::yield();
+  fill.clear();
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+  Response r;
+  REQUIRE(visitor.receive(r) == Got::whole);
+  CHECK(r.status == 200);
+}
+
+TEST_CASE("a list's entry that can't be read hides no other", "[net]") {
+  Names names;
+  Directory directory(names, 0);
+  const Listing listing = directory.read(
+      R"({"version":4,"full":false,"servers":[{"id":"a","addr":"nowhere","state":"ready"},
+          {"id":"b","addr":"127.0.0.1:81","state":"asleep"},{"id":"c","addr":"127.0.0.1:82","state":"gone"}]})");
+  CHECK(listing.version == 4);
+  REQUIRE(listing.entries.size() == 1);
+  CHECK(listing.entries[0].availability == Availability::deleted);
+  CHECK_FALSE(directory.find(listing.entries[0].backend + 1));
+  CHECK_THROWS_AS(directory.read("[]"), Malformed);
+}
+
+TEST_CASE("a client that waits for a word before its body gets it", "[net]") {
+  Server backend(always(ok("done")));
+  Fleet fleet({backend.address()});
+  Visitor visitor(fleet.node);
+  visitor.send(
+      "POST /view HTTP/1.1\r\nX-Txn: t\r\nX-Remaining-Ms: 900\r\nExpect: 100-continue\r\n"
+      "Content-Length: 1\r\n\r\n");
+  CHECK(visitor.word() == "HTTP/1.1 100 Continue\r\n\r\n");
+  CHECK(visitor.ask("x").body == "done");
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -177,6 +177,11 @@
     REQUIRE(receive(r) == Got::whole);
     return r;
   }
+  std::string word() {
+    std::string bytes;
+    REQUIRE(read_some(fd_.get(), bytes, soon()) == Io::done);
+    return bytes;
+  }
   void leave() { fd_.reset(); }
   bool ended() { return wait_readable(fd_.get(), soon()) == Io::done && !still_quiet(fd_.get()); }
 
