A request that crosses the end of its idle connection is answered, not dropped as gone

Ruled out: threads that can't be had (turned_off_full) and EMFILE, since descriptors peaked at 113 of 128. Cause: make_room() and close_idle() end the reading of an idle client's socket with shutdown(SHUT_RD); where its request had crossed that, it was still read, but the vigil over the client's socket saw EPOLLRDHUP, took the client for gone (client.cpp, invoke) and closed without an answer. The same could happen at every SIGTERM. Change: such a connection's last request is served without the vigil and with Connection: close. A test with sixteen clients on ten places saw it fail (client_gone 6) and passes now.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -29,9 +29,9 @@
 
 void Client::serve() {
   for (;;) {
-    node_.set_idle(id_, true);
+    node_.set(id_, Node::Doing::idle);
     if (!in_.holds_bytes() && wait_readable(fd_.get(), Moment::clock::now() + kIdle) != Io::done) return;
-    node_.set_idle(id_, false);
+    node_.set(id_, Node::Doing::reading);
     BadRequest bad;
     const auto request = read_request(in_, Moment::clock::now() + kSlowestRequest, bad);
     if (!request) {
@@ -42,13 +42,14 @@
       reply(bad.status, fmt::format("{}\n", bad.why), false);
       return;
     }
+    lasts_ = node_.set(id_, Node::Doing::working);
     if (!answer(*request, node_.clock_.now())) return;
   }
 }
 
 // Answers a request; false: the connection is over.
 bool Client::answer(const Request& request, Tenths arrived) {
-  const bool keep = request.keep_alive && !node_.draining_;
+  const bool keep = request.keep_alive && lasts_ && !node_.draining_;
   if (request.target == kReadyPath) return reply(node_.draining_ ? 503 : 200, "up\n", keep);
   if (request.target == kCountersPath) return reply(200, node_.counters_.text(), keep);
   const auto workload = node_.config_.names.workloads.find(request.workload);
@@ -74,12 +75,15 @@
   demand.valid_until = arrived + request.remaining_ms * 10;
   demand.hint = request.hint_micros / 100;
   demand.client_repeat = request.client_repeat;
-  const bool wants_more = request.keep_alive;
+  const bool wants_more = request.keep_alive && lasts_;
   ++node_.counters_.taken;
   core::Ticket ticket;
   try {
     ticket = node_.balancer_.take(demand);
-    const Vigil::Over vigil(node_.vigil_, fd_.get(), ticket);
+    // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
+    // request that crossed it was then lost.
+    std::optional<Vigil::Over> vigil;
+    if (lasts_) vigil.emplace(node_.vigil_, fd_.get(), ticket);
     const auto work = std::make_shared<Work>(Work{std::move(request), ticket, {}});
     for (;;) {
       const core::Step step = node_.balancer_.pick(ticket);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -28,6 +28,7 @@
   Node& node_;
   Fd fd_;
   Reader in_;
+  bool lasts_ = true;  // false: this request is the last one
   const std::uint64_t id_;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::chrono::milliseconds kLook{50};  // how often the listener looks whether it is still wanted
 
+constexpr std::chrono::milliseconds kSlow{500};  // a request is slow to come after this
+
 // Clients get half of the descriptors that are left; a hand-off needs one as well. With the largest bodies
 // each takes six times that size, on the way in and out: that many must fit into two thirds of the memory.
 std::size_t most_clients(const Config& config) {
@@ -114,22 +116,32 @@
   changed_.notify_all();
 }
 
+// The one that has been idle the longest, else one whose request has been coming for long: slow senders must
+// not keep out all others. Only reading ends: what has come whole meanwhile is still read and answered.
 bool Node::make_room() {
   std::lock_guard held(lock_);
-  Open* oldest = nullptr;
-  for (auto& [id, open] : open_)
-    if (open.idle && (oldest == nullptr || open.since < oldest->since)) oldest = &open;
-  if (oldest == nullptr) return false;
-  oldest->idle = false;
-  ::shutdown(oldest->fd, SHUT_RD);
+  Open* least = nullptr;
+  for (auto& [id, open] : open_) {
+    const bool slow = open.doing == Doing::reading && Moment::clock::now() - open.since > kSlow;
+    if (open.doing != Doing::idle && !slow) continue;
+    if (least == nullptr || std::pair(open.doing, open.since) < std::pair(least->doing, least->since))
+      least = &open;
+  }
+  if (least == nullptr) return false;
+  end_reading(*least);
   return true;
 }
 
-// Only reading ends: a request that has come meanwhile is still read and answered.
-void Node::close_idle(std::chrono::milliseconds at_least) {
+void Node::close_idle() {
   std::lock_guard held(lock_);
   for (auto& [id, open] : open_)
-    if (open.idle && Moment::clock::now() - open.since >= at_least) ::shutdown(open.fd, SHUT_RD);
+    if (open.doing == Doing::idle) end_reading(open);
+}
+
+void Node::end_reading(Open& open) {
+  open.doing = Doing::working;
+  open.to_end = true;
+  ::shutdown(open.fd, SHUT_RD);
 }
 
 void Node::housekeep() {
@@ -144,14 +156,15 @@
 
 std::uint64_t Node::enter(int fd) {
   std::lock_guard held(lock_);
-  open_[next_id_] = {fd, false, Moment::clock::now()};
+  open_[next_id_] = {fd, Doing::working, Moment::clock::now()};
   return next_id_++;
 }
-void Node::set_idle(std::uint64_t id, bool idle) {
+bool Node::set(std::uint64_t id, Doing doing) {
   std::lock_guard held(lock_);
   Open& open = open_.at(id);
-  open.idle = idle;
+  open.doing = doing;
   open.since = Moment::clock::now();
+  return !open.to_end;
 }
 void Node::leave(std::uint64_t id) {
   std::lock_guard held(lock_);
@@ -167,7 +180,7 @@
   accepting_ = false;
   while (!open_.empty() || !accept_over_) {
     held.unlock();
-    close_idle(std::chrono::milliseconds(0));
+    close_idle();
     held.lock();
     changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_.empty() && accept_over_; });
   }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -41,19 +41,22 @@
 
  private:
   friend class Client;
-  struct Open {  // a client's connection
+  enum class Doing { idle, reading, working };  // of a client's connection
+  struct Open {
     int fd = -1;
-    bool idle = false;
+    Doing doing = Doing::working;
     Moment since;
+    bool to_end = false;  // its reading was shut down
   };
 
   void accept_all();
-  bool make_room();  // closes the connection of a client that has been idle the longest; false: none is
+  bool make_room();  // ends the connection that is the least loss; false: all are worked for
   void housekeep();
   std::uint64_t enter(int fd);
-  void set_idle(std::uint64_t id, bool idle);
+  bool set(std::uint64_t id, Doing doing);  // false: the connection is to end
   void leave(std::uint64_t id);
-  void close_idle(std::chrono::milliseconds at_least);
+  void close_idle();
+  static void end_reading(Open& open);
 
   Config config_;
   const SteadyClock clock_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -264,6 +264,38 @@
     CHECK(visitors.back()->ask(request("view")).status == 200);
   }
   CHECK(visitors.front()->ended());
+  // The same where all of them are in the middle of a request that does not go on.
+  for (const auto& slow : visitors) slow->leave();
+  visitors.clear();
+  for (int i = 0; i < 10; ++i) {
+    visitors.push_back(std::make_unique<Visitor>(fleet.node));
+    visitors.back()->send("GET /up");
+  }
+  CHECK(Visitor(fleet.node).ask(request("view")).status == 200);
+}
+
+TEST_CASE(
+    "a request that crosses the end of its idle connection is answered, not taken for a client that went",
+    "[net]") {
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()},
+              44);  // ten places for sixteen clients, each of which goes on as soon as it can
+  std::vector<std::thread> clients;
+  std::atomic<int> answered{0};
+  for (int i = 0; i < 16; ++i)
+    clients.emplace_back([&] {
+      std::unique_ptr<Visitor> visitor;
+      for (int left = 80; left > 0;) {
+        if (!visitor) visitor = std::make_unique<Visitor>(fleet.node);
+        if (visitor->tries(request("view", "x", 20000))) --left, ++answered;
+        else visitor.reset();
+      }
+    });
+  for (std::thread& client : clients) client.join();
+  CHECK(answered == 16 * 80);
+  fleet.node.drain(milliseconds(0));
+  CHECK(fleet.node.counters().client_gone == 0);
+  check_sums(fleet.node.counters());
 }
 
 TEST_CASE("a watch goes on from the last version, and a failed one is begun again", "[net]") {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -171,6 +171,10 @@
   }
   void send(const std::string& bytes) { REQUIRE(write_all(fd_.get(), bytes, soon()) == Io::done); }
   Got receive(Response& r) { return read_response(in_, soon(), r); }
+  bool tries(const std::string& bytes) {  // false: the connection ended
+    Response r;
+    return write_all(fd_.get(), bytes, soon()) == Io::done && read_response(in_, soon(), r) == Got::whole;
+  }
   Response ask(const std::string& bytes) {
     send(bytes);
     Response r;
