Every connection is taken at once; idle ones are called to an end, not shut down

Cause: with all places in use accept_all() waited, and the request sat unread in the accept queue, its client's patience running. Now every connection is accepted within a small reserve; what there is no place for is turned away with 503 at once. Clients and backends share one budget of descriptors, neither over two thirds. The crossing test, now with requests in two halves, failed 2 of 3 times with the shutdown and passes without it, also under ThreadSanitizer.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::seconds kIdle{60};           // a connection that nothing comes on
 constexpr std::chrono::seconds kSlowestRequest{5};  // from its first byte to its last
 constexpr std::chrono::seconds kSlowestReader{2};
+constexpr std::chrono::milliseconds kBriefly{500};  // both, for a client that there is no place for
 constexpr std::string_view kText = "text/plain";
 
 }  // namespace
@@ -23,30 +24,49 @@
   std::deque<std::shared_ptr<Exchange>> exchanges;  // by number; only the client's thread changes it
 };
 
-Client::Client(Node& node, Fd fd)
-    : node_(node), fd_(std::move(fd)), in_(fd_.get()), id_(node.enter(fd_.get())) {}
-Client::~Client() { node_.leave(id_); }
+Client::Client(Node& node, Fd fd, bool has_place)
+    : node_(node), fd_(std::move(fd)), in_(fd_.get()), has_place_(has_place),
+      id_(node.enter(fd_.get(), has_place)) {}
+// Nobody may know the descriptor any more when it is closed: its number is soon another connection's.
+Client::~Client() {
+  node_.leave(id_);
+  fd_.reset();
+  node_.closed(has_place_);
+}
 
 void Client::serve() {
+  const auto limit = [this](auto usual) {
+    return Moment::clock::now() + (has_place_ ? std::chrono::milliseconds(usual) : kBriefly);
+  };
   for (;;) {
     node_.set(id_, Node::Doing::idle);
-    if (!in_.holds_bytes() && wait_readable(fd_.get(), Moment::clock::now() + kIdle) != Io::done) return;
+    if (!in_.holds_bytes() && !request_comes(limit(kIdle))) return;
     node_.set(id_, Node::Doing::reading);
     BadRequest bad;
-    const auto request = read_request(in_, Moment::clock::now() + kSlowestRequest, bad);
+    const auto request = read_request(in_, limit(kSlowestRequest), bad);
     if (!request) {
+      if (!bad.why.empty()) ++node_.counters_.bad_requests;
       if (bad.status == 0) return;
-      ++node_.counters_.bad_requests;
       log::debug("bad request: {}", bad.why);
       // What follows on this connection can't be told apart any more.
       reply(bad.status, fmt::format("{}\n", bad.why), false);
       return;
     }
-    lasts_ = node_.set(id_, Node::Doing::working);
+    lasts_ = node_.set(id_, Node::Doing::working) && has_place_;
     if (!answer(*request, node_.clock_.now())) return;
   }
 }
 
+bool Client::request_comes(Moment limit) {
+  for (;;) {
+    const Io io = wait_readable_or_call(fd_.get(), limit);
+    if (io != Io::ended) return io == Io::done;
+    // This thread was called to end the connection; what has come before that is still answered.
+    if (has_place_ && !node_.lasts(id_))
+      return wait_readable_or_call(fd_.get(), Moment::clock::now()) == Io::done;
+  }
+}
+
 // Answers a request; false: the connection is over.
 bool Client::answer(const Request& request, Tenths arrived) {
   const bool keep = request.keep_alive && lasts_ && !node_.draining_;
@@ -64,6 +84,10 @@
                                             : "no label\n",
                  keep);
   }
+  if (!has_place_) {  // nothing was handed off: trying again is harmless
+    ++node_.counters_.turned_off_full;
+    return reply(503, "full\n", false);
+  }
   return invoke(request, arrived);
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -10,13 +10,14 @@
 
 class Client {
  public:
-  Client(Node& node, Fd fd);
+  Client(Node& node, Fd fd, bool has_place);
   ~Client();
   void serve();  // until the connection is over
 
  private:
   struct Work;  // what the hand-offs of one invocation share
 
+  bool request_comes(Moment limit);
   bool answer(const Request& request, Tenths arrived);
   bool invoke(Request request, Tenths arrived);
   bool end(const Work& work, const core::Step& step, bool keep);
@@ -28,7 +29,8 @@
   Node& node_;
   Fd fd_;
   Reader in_;
-  bool lasts_ = true;  // false: this request is the last one
+  bool lasts_ = true;     // false: this request is the last one
+  const bool has_place_;  // else its one request is turned away
   const std::uint64_t id_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -244,8 +244,8 @@
   Head head;
   switch (in.read_head(limit, head)) {
     case Got::whole: break;
-    case Got::nothing:
-    case Got::cut: return refuse(0, "");
+    case Got::nothing: return refuse(0, "");
+    case Got::cut: return refuse(0, "cut");
     case Got::late: return refuse(in.holds_bytes() ? 408 : 0, "the request came too slowly");
     case Got::malformed: return refuse(400, "malformed head");
     case Got::too_large: return refuse(431, "head too large");
@@ -288,7 +288,7 @@
   switch (in.read_body(limit, length, r.body)) {
     case Got::whole: return r;
     case Got::late: return refuse(408, "the request came too slowly");
-    default: return refuse(0, "");
+    default: return refuse(0, "cut");
   }
 }
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -13,18 +13,21 @@
 namespace {
 
 constexpr Tenths kDay = 24 * 3600 * Tenths{10000};
-constexpr std::size_t kOwnDescriptors = 24;  // listener, watch, logs and what the libraries open
+constexpr std::chrono::milliseconds kLook{50};   // how often the listener looks whether it is still wanted
+constexpr std::chrono::milliseconds kSlow{500};  // a request is slow to come after this
+constexpr std::size_t kOwnDescriptors = 10;      // listener, watch, log, vigil and a few to spare
 
-constexpr std::chrono::milliseconds kLook{50};  // how often the listener looks whether it is still wanted
+// So many are kept for clients whose request can only be turned away, so that none is left waiting unread.
+std::size_t reserve(const Config& config) { return 8 + config.descriptors / 64; }
 
-constexpr std::chrono::milliseconds kSlow{500};  // a request is slow to come after this
+std::size_t budgeted(const Config& config) { return config.descriptors - kOwnDescriptors - reserve(config); }
 
-// Clients get half of the descriptors that are left; a hand-off needs one as well. With the largest bodies
-// each takes six times that size, on the way in and out: that many must fit into two thirds of the memory.
+// Neither side gets more than two thirds. A client with the largest bodies takes three times that size, and
+// stacks: so many must fit into two thirds of the memory.
 std::size_t most_clients(const Config& config) {
-  constexpr std::size_t kDearest = 6 * kMostBody + 64 * 1024;
-  return std::max<std::size_t>(2, std::min((config.descriptors - kOwnDescriptors) / 2,
-                                           config.memory_mb * 1024 * 1024 / 3 * 2 / kDearest));
+  constexpr std::size_t kDearest = 3 * kMostBody + 64 * 1024;
+  return std::max<std::size_t>(
+      2, std::min(budgeted(config) / 3 * 2, config.memory_mb * 1024 * 1024 / 3 * 2 / kDearest));
 }
 
 // A connection is retired before the backend closes it: a tenth earlier, and half a second where that is
@@ -49,9 +52,10 @@
 Node::Node(Config config)
     : config_(std::move(config)), balancer_(config_.settings, clock_),
       directory_(config_.names, clock_.wall_offset()),
-      pool_(most_clients(config_), idle_limit(config_.settings.keepalive)), vigil_(balancer_),
-      listener_(listen_on(parse_address(config_.listen))), most_clients_(most_clients(config_)),
-      workers_(2 * most_clients_), clients_(2 * most_clients_), inner_(5) {
+      budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2),
+      pool_(budget_, idle_limit(config_.settings.keepalive)), vigil_(balancer_),
+      listener_(listen_on(parse_address(config_.listen))), reserve_(reserve(config_)),
+      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(5) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
@@ -75,16 +79,10 @@
 void Node::accept_all() {
   for (;;) {
     {
-      // A descriptor is free before one is taken: accept must not be the call that finds none.
+      // The reserve is in use: accept must not be the call that finds no descriptor.
       std::unique_lock held(lock_);
-      if (open_.size() >= most_clients_ && accepting_) {
-        held.unlock();
-        make_room();
-        held.lock();
-        changed_.wait_for(held, std::chrono::milliseconds(20),
-                          [this] { return open_.size() < most_clients_ || !accepting_; });
-        if (open_.size() >= most_clients_ && accepting_) continue;
-      }
+      changed_.wait_for(held, kLook, [this] { return over_budget_ < reserve_; });
+      if (over_budget_ >= reserve_) continue;
     }
     // Once this node accepts no more, those that the system has taken for it already are still served.
     const bool last = !accepting_;
@@ -103,7 +101,7 @@
     ++counters_.connections_taken;
     bool started = false;
     try {
-      const auto client = std::make_shared<Client>(*this, Fd(fd));
+      const auto client = std::make_shared<Client>(*this, Fd(fd), find_place());
       started = clients_.run([client] { client->serve(); });
     } catch (const std::exception& broke) {
       log::error("client: {}", broke.what());
@@ -116,32 +114,49 @@
   changed_.notify_all();
 }
 
+// A request that waits unread in the accept queue gets no answer in its time, and its client's patience can't
+// be told from its head any more: so every connection is taken at once, and what there is no place for is
+// turned away.
+bool Node::find_place() {
+  for (int tries = 0; tries < 3; ++tries) {
+    const Budget::Took took = budget_.take(Side::clients);
+    if (took == Budget::Took::yes) return true;
+    if (took == Budget::Took::all_full && pool_.shed()) continue;
+    if (!make_room()) return false;
+    std::unique_lock held(lock_);
+    changed_.wait_for(held, std::chrono::milliseconds(5));
+  }
+  return false;
+}
+
 // The one that has been idle the longest, else one whose request has been coming for long: slow senders must
-// not keep out all others. Only reading ends: what has come whole meanwhile is still read and answered.
+// not keep out all others.
 bool Node::make_room() {
   std::lock_guard held(lock_);
   Open* least = nullptr;
   for (auto& [id, open] : open_) {
     const bool slow = open.doing == Doing::reading && Moment::clock::now() - open.since > kSlow;
-    if (open.doing != Doing::idle && !slow) continue;
+    if (open.to_end || (open.doing != Doing::idle && !slow)) continue;
     if (least == nullptr || std::pair(open.doing, open.since) < std::pair(least->doing, least->since))
       least = &open;
   }
   if (least == nullptr) return false;
-  end_reading(*least);
+  end(*least);
   return true;
 }
 
 void Node::close_idle() {
   std::lock_guard held(lock_);
   for (auto& [id, open] : open_)
-    if (open.doing == Doing::idle) end_reading(open);
+    if (open.doing == Doing::idle && !open.to_end) end(open);
 }
 
-void Node::end_reading(Open& open) {
-  open.doing = Doing::working;
+// An idle connection's thread is called and looks itself whether a request has come: its reading must not be
+// shut down, since a request of which only the first part had come would be cut then. A slow sender's is.
+void Node::end(Open& open) {
   open.to_end = true;
-  ::shutdown(open.fd, SHUT_RD);
+  if (open.doing == Doing::idle) call(open.thread);
+  else ::shutdown(open.fd, SHUT_RD);
 }
 
 void Node::housekeep() {
@@ -154,14 +169,20 @@
   }
 }
 
-std::uint64_t Node::enter(int fd) {
+std::uint64_t Node::enter(int fd, bool has_place) {
   std::lock_guard held(lock_);
-  open_[next_id_] = {fd, Doing::working, Moment::clock::now()};
+  open_[next_id_] = {fd, Doing::working, Moment::clock::now(), {}, !has_place};
+  if (!has_place) ++over_budget_;
   return next_id_++;
 }
+bool Node::lasts(std::uint64_t id) {
+  std::lock_guard held(lock_);
+  return !open_.at(id).to_end;
+}
 bool Node::set(std::uint64_t id, Doing doing) {
   std::lock_guard held(lock_);
   Open& open = open_.at(id);
+  open.thread = ::pthread_self();
   open.doing = doing;
   open.since = Moment::clock::now();
   return !open.to_end;
@@ -169,6 +190,11 @@
 void Node::leave(std::uint64_t id) {
   std::lock_guard held(lock_);
   open_.erase(id);
+}
+void Node::closed(bool had_place) {
+  if (had_place) budget_.give_back(Side::clients);
+  std::lock_guard held(lock_);
+  if (!had_place) --over_budget_;
   changed_.notify_all();
 }
 
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -46,23 +46,28 @@
     int fd = -1;
     Doing doing = Doing::working;
     Moment since;
-    bool to_end = false;  // its reading was shut down
+    pthread_t thread{};
+    bool to_end = false;  // this request is its last
   };
 
   void accept_all();
   bool make_room();  // ends the connection that is the least loss; false: all are worked for
   void housekeep();
-  std::uint64_t enter(int fd);
+  bool find_place();             // false: there is none
+  bool lasts(std::uint64_t id);  // false: this request is its last, or there is none any more
+  std::uint64_t enter(int fd, bool has_place);
   bool set(std::uint64_t id, Doing doing);  // false: the connection is to end
-  void leave(std::uint64_t id);
+  void leave(std::uint64_t id);             // before its descriptor is closed
+  void closed(bool had_place);              // after that
   void close_idle();
-  static void end_reading(Open& open);
+  static void end(Open& open);
 
   Config config_;
   const SteadyClock clock_;
   core::Balancer balancer_;
   Counters counters_;
   Directory directory_;
+  Budget budget_;
   Pool pool_;
   Vigil vigil_;
   std::unique_ptr<Watch> watch_;
@@ -72,9 +77,10 @@
   std::condition_variable changed_;
   std::map<std::uint64_t, Open> open_;
   std::uint64_t next_id_ = 1;
+  std::size_t over_budget_ = 0;
   bool stopped_ = false, accept_over_ = true;
   std::atomic<bool> draining_{false}, accepting_{true};
-  const std::size_t most_clients_;
+  const std::size_t reserve_;
   Threads workers_, clients_, inner_;  // the last members: their threads use the others
 };
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -8,9 +8,7 @@
 // Closed before it stops counting: the limit is on descriptors.
 Pool::Connection::~Connection() {
   fd_.reset();
-  if (pool_ == nullptr) return;
-  std::lock_guard held(pool_->lock_);
-  --pool_->open_;
+  if (pool_ != nullptr) pool_->budget_.give_back(Side::backends);
 }
 
 std::optional<Pool::Connection> Pool::idle(Index backend, std::uint64_t address) {
@@ -32,34 +30,33 @@
 }
 
 std::optional<Pool::Connection> Pool::fresh() {
-  std::optional<Idle> oldest;  // closed after the lock is free
-  {
-    std::lock_guard held(lock_);
-    if (open_ >= most_) {
-      auto from = idle_.end();
-      for (auto at = idle_.begin(); at != idle_.end(); ++at)
-        if (!at->second.empty() &&
-            (from == idle_.end() || at->second.front().since < from->second.front().since))
-          from = at;
-      if (from == idle_.end()) return std::nullopt;
-      oldest.emplace(std::move(from->second.front()));
-      from->second.pop_front();
-    }
-    ++open_;
-  }
-  oldest.reset();
+  while (budget_.take(Side::backends) != Budget::Took::yes)
+    if (!shed()) return std::nullopt;
   Connection connection(this, new_socket());
   if (connection.fd() < 0) return std::nullopt;
   return connection;
 }
 
+bool Pool::shed() {
+  std::optional<Idle> oldest;  // closed after the lock is free
+  std::lock_guard held(lock_);
+  auto from = idle_.end();
+  for (auto at = idle_.begin(); at != idle_.end(); ++at)
+    if (!at->second.empty() && (from == idle_.end() || at->second.front().since < from->second.front().since))
+      from = at;
+  if (from == idle_.end()) return false;
+  oldest.emplace(std::move(from->second.front()));
+  from->second.pop_front();
+  return true;
+}
+
 void Pool::give_back(Index backend, std::uint64_t address, Connection connection) {
   std::lock_guard held(lock_);
   idle_[backend].push_back({address, Moment::clock::now(), std::move(connection)});
 }
 
 void Pool::retire() {
-  std::deque<Idle> old;  // goes after the lock is free: closing counts under it
+  std::deque<Idle> old;  // closed after the lock is free
   std::lock_guard held(lock_);
   const Moment before = Moment::clock::now() - idle_limit_;
   for (auto& [backend, all] : idle_) {
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "decide.h"
+#include "net/budget.h"
 #include "net/socket.h"
 
 namespace troutstage::net {
@@ -29,12 +30,13 @@
     Fd fd_;
   };
 
-  Pool(std::size_t most, std::chrono::steady_clock::duration idle_limit)
-      : most_(most), idle_limit_(idle_limit) {}
+  Pool(Budget& budget, std::chrono::steady_clock::duration idle_limit)
+      : budget_(budget), idle_limit_(idle_limit) {}
 
   std::optional<Connection> idle(Index backend, std::uint64_t address);  // one that is open and quiet
   std::optional<Connection> fresh();  // a socket not yet connected; nothing where no more may be had
   void give_back(Index backend, std::uint64_t address, Connection connection);
+  bool shed();                 // closes the one that has been idle the longest; false: none is
   void retire();               // closes what has been idle for too long
   void forget(Index backend);  // closes all idle ones of a backend
 
@@ -45,9 +47,8 @@
     Connection connection;
   };
   std::mutex lock_;
-  const std::size_t most_;
+  Budget& budget_;
   const std::chrono::steady_clock::duration idle_limit_;
-  std::size_t open_ = 0;
   std::map<Index, std::deque<Idle>> idle_;  // the newest last
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,9 +4,11 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 
@@ -15,17 +17,23 @@
 namespace troutstage::net {
 namespace {
 
+constexpr int kCall = SIGUSR2;
+
 // Waits till `events` are there. The limit is a point in time, so a wait that is interrupted goes on to it.
-Io wait_for(int fd, short events, Moment limit) {
+// With `calls` a call ends it; calls are blocked but for this wait, so that one can't come just before it and
+// be lost.
+Io wait_for(int fd, short events, Moment limit, const sigset_t* calls = nullptr) {
   for (;;) {
     const auto left = std::chrono::duration_cast<std::chrono::nanoseconds>(limit - Moment::clock::now());
-    if (left.count() <= 0) return Io::late;
-    timespec span{static_cast<time_t>(left.count() / 1000000000),
-                  static_cast<long>(left.count() % 1000000000)};
+    if (left.count() <= 0 && calls == nullptr) return Io::late;
+    const auto span = std::max<std::int64_t>(0, left.count());
+    timespec wait{static_cast<time_t>(span / 1000000000), static_cast<long>(span % 1000000000)};
     pollfd p{fd, events, 0};
-    const int n = ::ppoll(&p, 1, &span, nullptr);
+    const int n = ::ppoll(&p, 1, &wait, calls);
     if (n > 0) return Io::done;
     if (n < 0 && errno != EINTR) return Io::broken;
+    if (n < 0 && calls != nullptr) return Io::ended;
+    if (n == 0) return Io::late;
   }
 }
 
@@ -96,6 +104,25 @@
 
 Io wait_readable(int fd, Moment limit) { return wait_for(fd, POLLIN, limit); }
 
+Io wait_readable_or_call(int fd, Moment limit) {
+  sigset_t open;
+  ::pthread_sigmask(SIG_BLOCK, nullptr, &open);
+  ::sigdelset(&open, kCall);
+  return wait_for(fd, POLLIN, limit, &open);
+}
+
+void take_calls() {
+  struct sigaction nothing {};
+  nothing.sa_handler = [](int) {};
+  ::sigaction(kCall, &nothing, nullptr);
+  sigset_t calls;
+  ::sigemptyset(&calls);
+  ::sigaddset(&calls, kCall);
+  ::pthread_sigmask(SIG_BLOCK, &calls, nullptr);
+}
+
+void call(pthread_t thread) { ::pthread_kill(thread, kCall); }
+
 Io read_some(int fd, std::string& into, Moment limit) {
   if (const Io io = wait_readable(fd, limit); io != Io::done) return io;
   char bytes[8192];
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <netinet/in.h>
+#include <pthread.h>
 
 #include <chrono>
 #include <string>
@@ -41,6 +42,11 @@
 
 Io connect_to(int fd, const sockaddr_in& address, Moment limit);
 Io wait_readable(int fd, Moment limit);
+// The same, but call() on the thread that waits ends it, with Io::ended. A call that comes before the wait
+// ends the next one, so none is missed; threads take calls after take_calls().
+Io wait_readable_or_call(int fd, Moment limit);
+void take_calls();
+void call(pthread_t thread);
 Io read_some(int fd, std::string& into, Moment limit);  // appends what there is, once there is something
 Io write_all(int fd, std::string_view bytes, Moment limit);
 bool still_quiet(int fd);  // open, and nothing has come: a connection that may be used again
