--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -38,8 +38,9 @@
   const auto limit = [this](auto usual) {
     return Moment::clock::now() + (has_place_ ? std::chrono::milliseconds(usual) : kBriefly);
   };
-  for (;;) {
-    node_.set(id_, Node::Doing::idle);
+  // A new connection is not idle: its first request is on the way, and its client would not send that again.
+  for (Node::Doing before = Node::Doing::reading;; before = Node::Doing::idle) {
+    node_.set(id_, before);
     if (!in_.holds_bytes() && !request_comes(limit(kIdle))) return;
     node_.set(id_, Node::Doing::reading);
     BadRequest bad;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -135,8 +135,7 @@
   std::lock_guard held(lock_);
   Open* least = nullptr;
   for (auto& [id, open] : open_) {
-    const bool slow = open.doing == Doing::reading && Moment::clock::now() - open.since > kSlow;
-    if (open.to_end || (open.doing != Doing::idle && !slow)) continue;
+    if (!may_end(open)) continue;
     if (least == nullptr || std::pair(open.doing, open.since) < std::pair(least->doing, least->since))
       least = &open;
   }
@@ -145,10 +144,15 @@
   return true;
 }
 
+bool Node::may_end(const Open& open) const {
+  const bool slow = open.doing == Doing::reading && Moment::clock::now() - open.since > kSlow;
+  return !open.to_end && (open.doing == Doing::idle || slow);
+}
+
 void Node::close_idle() {
   std::lock_guard held(lock_);
   for (auto& [id, open] : open_)
-    if (open.doing == Doing::idle && !open.to_end) end(open);
+    if (may_end(open)) end(open);
 }
 
 // An idle connection's thread is called and looks itself whether a request has come: its reading must not be
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -60,6 +60,7 @@
   void leave(std::uint64_t id);             // before its descriptor is closed
   void closed(bool had_place);              // after that
   void close_idle();
+  bool may_end(const Open& open) const;
   static void end(Open& open);
 
   Config config_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -278,6 +278,18 @@
   CHECK(status == 200);
 }
 
+TEST_CASE("a connection on which the first request is still to come does not make room at once", "[net]") {
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()}, 36);
+  const Moment begun = Moment::clock::now();
+  std::vector<std::unique_ptr<Visitor>> visitors;
+  for (int i = 0; i < 12; ++i) visitors.push_back(std::make_unique<Visitor>(fleet.node));
+  while (fleet.node.counters().connections_taken < 12) std::this_thread::yield();
+  const std::string body = Visitor(fleet.node).ask(request("view")).body;
+  // After half a second they may: a machine that took so long shows nothing.
+  if (Moment::clock::now() - begun < milliseconds(400)) CHECK(body == "full\n");
+}
+
 TEST_CASE("a request for which there is no place is turned away at once, not left unread", "[net]") {
   Server silent(no_news);
   Fleet fleet({silent.address()}, 34);  // ten clients' connections
