One class ends blocked calls; discovery that does not wait is not asked without end

Exchange and watch each had their own descriptor that another thread may shut down; Shutter::Hold lets go of it also when an exception passes, before the descriptor is closed. A service that answers a watch at once and with no news was asked again at once, without end: 100 ms lie between two such calls now, inside the 200 ms that a watch may pause. An exception in the watch's thread is a failed watch, not the end of watching. The test of running out of descriptors could wait for ever when its first connection closed late; that connection stays open now.

--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <memory>
-#include <mutex>
 #include <optional>
 
 #include "net/counters.h"
 #include "net/http.h"
 #include "net/pool.h"
+#include "net/shutter.h"
 
 namespace troutstage::net {
 
@@ -22,23 +22,19 @@
       : pool_(pool), counters_(counters), connect_limit_(connect_limit) {}
   // Blocks till it is over, at `until` at the latest.
   Ended run(const Request& request, const Target& target, Moment until);
-  // Ends run() from another thread. The connection is shut down, never closed: its number may be in use
-  // again.
-  void recall();
+  // Ends run() from another thread.
+  void recall() { shutter_.shut(); }
   const Response& answer() const { return answer_; }  // after run()
 
  private:
   Ended over(const Request& request, const Target& target, Moment until);
-  bool hold(int fd);  // false: it was recalled before
-  bool recalled();
+  Ended talk(int fd, bool open, const Request& request, const Target& target, Moment until, bool& use_again);
 
   Pool& pool_;
   Counters& counters_;
   const std::chrono::steady_clock::duration connect_limit_;
   Response answer_;
-  std::mutex lock_;
-  int fd_ = -1;  // in use by run(), which owns it
-  bool recalled_ = false;
+  Shutter shutter_;
 };
 
 }  // namespace troutstage::net
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -1,7 +1,6 @@
 #include "net/watch.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 #include "log/log.h"
 #include "net/http.h"
@@ -12,6 +11,7 @@
 
 constexpr std::chrono::milliseconds kWait{20000};     // what discovery is asked to wait at the most
 constexpr std::chrono::milliseconds kPatience{2000};  // for a connection, and for an answer after that wait
+constexpr std::chrono::milliseconds kTooSoon{100};    // for an answer with no news
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 }  // namespace
@@ -19,11 +19,12 @@
 void Watch::run() {
   while (balancer_.await_watch()) {
     ++counters_.watches;
-    follow();
-    {
-      std::lock_guard held(lock_);
-      if (stopped_) return;
+    try {
+      follow();
+    } catch (const std::exception& broken) {
+      log::warning("discovery: {}", broken.what());
     }
+    if (shutter_.is_shut()) return;
     // The decisions ask again in their own time, with growing waits.
     ++counters_.watches_failed;
     balancer_.told(ListForm::failed, {});
@@ -31,61 +32,43 @@
 }
 
 // A watch goes on only while the next call comes within 200 ms of the last answer: the connection is kept and
-// the next call written at once. One that failed between two calls is tried again on a new connection at
-// once.
+// the next call written at once. Where the connection ends between two calls, a new one is made at once.
 void Watch::follow() {
-  for (bool answered = true; answered;) {
-    answered = false;
-    Fd fd = new_socket();
-    struct LetGo {  // before the descriptor is closed
-      Watch& watch;
-      ~LetGo() { watch.hold(-1); }
-    } let_go{*this};
-    if (!fd || !hold(fd.get())) return;
-    if (connect_to(fd.get(), discovery_, Moment::clock::now() + kPatience) != Io::done) break;
-    Reader in(fd.get());
-    for (;;) {
-      const std::string call =
-          fmt::format("GET /discovery/hosts?index={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n", version_,
-                      kWait.count(), address_text(discovery_));
-      if (write_all(fd.get(), call, Moment::clock::now() + kPatience) != Io::done) break;
-      Response r;
-      const Got got = read_response(in, Moment::clock::now() + kWait + kPatience, r, kMostList);
-      if (got != Got::whole || r.status != 200) {
-        if (hold(-1))
-          log::info("discovery: {}",
-                    got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
-        // A first call that fails is a failure; an old connection may just have been closed between two
-        // calls.
-        if (got == Got::whole) answered = false;
-        break;
-      }
-      try {
-        const Listing list = directory_.read(r.body);
-        version_ = list.version;
-        log::debug("list {} {} with {} entries", list.version, list.full ? "full" : "delta",
-                   list.entries.size());
-        balancer_.told(list.full ? ListForm::full : ListForm::delta, list.entries);
-      } catch (const Malformed& broken) {
-        log::warning("discovery: {}", broken.what());
-        return;
-      }
-      answered = true;
-      if (!r.keep_alive) break;
-    }
+  while (calls_on_one_connection() && !shutter_.is_shut()) {
   }
 }
 
-void Watch::stop() {
-  std::lock_guard held(lock_);
-  stopped_ = true;
-  if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
-}
-
-bool Watch::hold(int fd) {
-  std::lock_guard held(lock_);
-  fd_ = fd;
-  return !stopped_;
+// True if the last one was answered, or at least one was and the connection has ended since.
+bool Watch::calls_on_one_connection() {
+  const Fd fd = new_socket();
+  if (!fd) return false;
+  const Shutter::Hold hold(shutter_, fd.get());
+  if (shutter_.is_shut() || connect_to(fd.get(), discovery_, Moment::clock::now() + kPatience) != Io::done)
+    return false;
+  Reader in(fd.get());
+  for (bool answered = false;; answered = true) {
+    const Moment asked = Moment::clock::now();
+    const std::string call = fmt::format("GET /discovery/hosts?index={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                                         version_, kWait.count(), address_text(discovery_));
+    if (write_all(fd.get(), call, asked + kPatience) != Io::done) return answered;
+    Response r;
+    const Got got = read_response(in, asked + kWait + kPatience, r, kMostList);
+    if (got != Got::whole || r.status != 200) {
+      if (!shutter_.is_shut())
+        log::info("discovery: {}",
+                  got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
+      return answered && got != Got::whole;
+    }
+    const Listing list = directory_.read(r.body);
+    version_ = list.version;
+    log::debug("list {} {} with {} entries", list.version, list.full ? "full" : "delta", list.entries.size());
+    const bool news = list.full || !list.entries.empty();
+    balancer_.told(list.full ? ListForm::full : ListForm::delta, list.entries);
+    // A service that does not wait would be asked without end; nothing comes on the connection meanwhile.
+    if (!news && Moment::clock::now() - asked < kTooSoon)
+      wait_readable(fd.get(), Moment::clock::now() + kTooSoon);
+    if (!r.keep_alive) return true;
+  }
 }
 
 }  // namespace troutstage::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -357,6 +357,20 @@
   CHECK(node.counters().watches_failed == 3);
 }
 
+TEST_CASE("discovery that answers without waiting and without news is not asked without end", "[net]") {
+  Flag enough;
+  std::vector<Moment> asked;
+  Server discovery([&](const Server::Call& call) {
+    asked.push_back(Moment::clock::now());
+    if (call.number == 3) enough.set();
+    return call.number < 3 ? ok(list(1, false, {})) : no_news(call);
+  });
+  Node node(config(list(1, true, {}), discovery.address()));
+  node.start();
+  enough.await();
+  for (std::size_t i = 1; i < 4; ++i) CHECK(asked[i] - asked[i - 1] >= milliseconds(90));
+}
+
 TEST_CASE("a backend that drains gets nothing new once the node was told", "[net]") {
   Server backend(always(ok("")));
   Flag told;
@@ -393,7 +407,8 @@
 TEST_CASE("with no descriptor left a node goes on, and serves once there is one", "[net]") {
   Server backend(always(ok("")));
   Fleet fleet({backend.address()});
-  CHECK(Visitor(fleet.node).ask(request("view")).status == 200);
+  Visitor first(fleet.node);  // stays, so that no descriptor becomes free meanwhile
+  CHECK(first.ask(request("view")).status == 200);
   rlimit before{};
   REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
   rlimit few = before;
