--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -1,6 +1,5 @@
 // The decisions in blocking style: an invocation is taken, pick() says what to do for it next, report() how
-// that went, and tick() lets time pass. It does no I/O; who calls it never sees the module's events or
-// actions.
+// that went, tick() lets time pass. It does no I/O; its callers never see the module's events or actions.
 #pragma once
 
 #include <condition_variable>
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -1,5 +1,4 @@
-// The descriptors that connections may take: so many in all, and no side so many that the other is left with
-// none.
+// The descriptors that connections may take: so many in all, and some of them for each side.
 #pragma once
 
 #include <cstddef>
--- a/src/net/ending.h
+++ b/src/net/ending.h
@@ -27,8 +27,7 @@
     "answered",       "answered_error", "turned_away",      "no_room",   "not_connected",   "cut_before_sent",
     "cut_after_sent", "answer_cut",     "answer_malformed", "timed_out", "recalled_unsent", "recalled"};
 
-// Only what is proven not to have run may be told so: the last byte was never written, or the backend says
-// it.
+// Told as never run is only what is proven so: the last byte was not written, or the backend says it.
 inline Ending outcome(Ended ended) {
   switch (ended) {
     case Ended::answered: return Ending::succeeded;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -30,8 +30,7 @@
       2, std::min(budgeted(config) / 3 * 2, config.memory_mb * 1024 * 1024 / 3 * 2 / kDearest));
 }
 
-// A connection is retired before the backend closes it: a tenth earlier, and half a second where that is
-// less.
+// A connection is retired before the backend closes it: a tenth earlier, half a second at the least.
 std::chrono::microseconds idle_limit(Tenths keepalive) {
   return std::chrono::microseconds(
       std::max<Tenths>(keepalive / 2, keepalive - std::max<Tenths>(5000, keepalive / 10)) * 100);
--- a/src/net/shutter.h
+++ b/src/net/shutter.h
@@ -10,8 +10,7 @@
 
 class Shutter {
  public:
-  // The owner has one for as long as the descriptor may be shut down. It must go before the descriptor is
-  // closed.
+  // The owner has one while the descriptor may be shut down; it must go before the descriptor is closed.
   class Hold {
    public:
     Hold(Shutter& shutter, int fd) : shutter_(shutter) { shutter_.set(fd); }
