SIGHUP reads the file anew and moves the watch; it ended the program before

Checked: the default action of the signal (src/main.cpp waited for SIGTERM, SIGINT and SIGUSR1 only), and the order of precedence in load(), where RELAY_DISCOVERY goes before the file. Ruled out: the end of the old watch; it is shut down at the swap, not waited for. At fault: src/main.cpp, the set of signals in serve(); src/net/watch.h, whose place was fixed at the start. Change: Node::reload reads the file; a discovery that has changed there wins. The watch drops its version, which means nothing at another place, and asks for the whole list; one thread tells all lists, so a late old one can't follow it. Test: the program itself gets SIGHUP with a broken and a good file; without the fix it dies of the first.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -49,7 +49,7 @@
     Config c;
     c.name = json.value("name", "");
     c.listen = json.value("listen", "");
-    c.discovery = json.value("discovery", "");
+    c.discovery = c.discovery_in_file = json.value("discovery", "");
     if (json.contains("known")) c.known = json.at("known").dump();
     if (json.contains("limits")) {
       c.descriptors = json.at("limits").value("sockets", c.descriptors);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,6 +10,7 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string discovery_in_file;  // what the file itself says of it
   std::string known;  // the list as it was last had, in discovery's form
   std::size_t descriptors = 1024, memory_mb = 192;
   Settings settings;
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -96,6 +96,12 @@
   tell(held, FleetList{form, std::move(entries)});
 }
 
+void Balancer::watch_now() {
+  std::lock_guard held(lock_);
+  watch_wanted_ = true;
+  watch_changed_.notify_one();
+}
+
 bool Balancer::await_watch() {
   std::unique_lock held(lock_);
   watch_changed_.wait(held, [&] { return watch_wanted_ || stopped_; });
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -55,6 +55,7 @@
   void run_ticks();  // ticks whenever something comes due, until stop()
 
   void told(ListForm form, std::vector<ListEntry> entries);
+  void watch_now();    // as if the decisions had asked for it
   bool await_watch();  // blocks until the list is to be watched (again); false: stop() was called
   void stop();
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,9 +24,12 @@
   return value == nullptr ? "" : value;
 }
 
+std::string config_path(const options::variables_map& given) {
+  return given.count("config") ? given["config"].as<std::string>() : environment("RELAY_CONFIG");
+}
+
 Config load(const options::variables_map& given) {
-  const std::string path =
-      given.count("config") ? given["config"].as<std::string>() : environment("RELAY_CONFIG");
+  const std::string path = config_path(given);
   if (path.empty()) throw Malformed("no configuration: give --config FILE or set RELAY_CONFIG");
   const std::string text = read_file(path);
   Config config = [&] {
@@ -49,19 +52,21 @@
   return config;
 }
 
-int serve(const Config& config) {
+int serve(const Config& config, const std::string& path) {
   // Few arenas: with one for each thread, memory would grow with the threads.
   ::mallopt(M_ARENA_MAX, 2);
   // Signals are waited for here; threads that start later have them blocked.
   sigset_t signals;
   ::sigemptyset(&signals);
-  for (int s : {SIGTERM, SIGINT, SIGUSR1}) ::sigaddset(&signals, s);
+  for (int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) ::sigaddset(&signals, s);
   ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
   net::Node node(config);
   node.start();
-  for (int got = 0; ::sigwait(&signals, &got) == 0 && got == SIGUSR1;)
-    log::info("{}", node.counters().text());
+  for (int got = 0; ::sigwait(&signals, &got) == 0 && (got == SIGUSR1 || got == SIGHUP);) {
+    if (got == SIGHUP) node.reload(path);
+    else log::info("{}", node.counters().text());
+  }
   node.drain(kDrainGrace);
   log::info("{}", node.counters().text());
   return 0;
@@ -80,7 +85,8 @@
   add("verbose", "log what happens to single requests too");
   if (command == "help") {
     std::cout << "troutstage serve|check|version|help [options]\n"
-                 "  serve    run a node until SIGTERM; SIGUSR1 logs its counters (the default)\n"
+                 "  serve    run a node until SIGTERM; SIGUSR1 logs its counters,\n"
+                 "           SIGHUP reads the configuration file anew (the default)\n"
                  "  check    read the configuration and say whether it can be used\n"
                  "  version  print the version\n\n"
               << all;
@@ -98,7 +104,7 @@
       given);
   if (given.count("verbose")) log::set_least(log::Level::debug);
   const Config config = load(given);
-  if (command == "serve") return serve(config);
+  if (command == "serve") return serve(config, config_path(given));
   std::cout << "configuration can be used: " << config.name << " on " << config.listen << ", "
             << config.settings.workloads.size() << " workloads\n";
   return 0;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -32,6 +32,8 @@
   line("answers_unread", answers_unread);
   line("watches", watches);
   line("watches_failed", watches_failed);
+  line("reloads", reloads);
+  line("reloads_failed", reloads_failed);
   return out;
 }
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -21,6 +21,7 @@
   Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, bad_requests{0}, turned_off_full{0},
       answers_unread{0};
   Count watches{0}, watches_failed{0};
+  Count reloads{0}, reloads_failed{0};
 
   void count(Ended how) { ++ended[static_cast<std::size_t>(how)]; }
   std::string text() const;  // a line for each: its name and figure
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -49,7 +49,7 @@
 Moment SteadyClock::at(Tenths when) const { return start_ + std::chrono::microseconds((when - kDay) * 100); }
 
 Node::Node(Config config)
-    : config_(std::move(config)), balancer_(config_.settings, clock_),
+    : config_(std::move(config)), discovery_in_file_(config_.discovery_in_file), balancer_(config_.settings, clock_),
       directory_(config_.names, clock_.wall_offset()),
       budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2),
       pool_(budget_, idle_limit(config_.settings.keepalive)), vigil_(balancer_),
@@ -201,6 +201,23 @@
   changed_.notify_all();
 }
 
+// Work that is held and all that was learned stay: only the watch goes elsewhere.
+void Node::reload(const std::string& path) {
+  try {
+    const Config fresh = read_config(read_file(path));
+    const bool moves = !fresh.discovery.empty() && fresh.discovery != discovery_in_file_;
+    if (moves) {
+      watch_->move(parse_address(fresh.discovery));
+      discovery_in_file_ = fresh.discovery;
+    }
+    ++counters_.reloads;
+    log::info("configuration reloaded: {}", moves ? "discovery is now " + fresh.discovery : "no other discovery");
+  } catch (const std::exception& unusable) {
+    ++counters_.reloads_failed;
+    log::error("configuration kept, '{}' can't be used: {}", path, unusable.what());
+  }
+}
+
 void Node::drain(std::chrono::milliseconds grace) {
   if (draining_.exchange(true)) return;
   log::info("draining");
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -36,6 +36,9 @@
   void start();
   // Ends gracefully: connections that still come are served for `grace`, all held is answered.
   void drain(std::chrono::milliseconds grace);
+  // Reads a configuration anew: a file that now names another discovery wins over where that was known from.
+  // Whatever is wrong with the file, the node goes on as it is.
+  void reload(const std::string& path);
   int port() const;
   const Counters& counters() const { return counters_; }
 
@@ -64,6 +67,7 @@
   static void end(Open& open);
 
   Config config_;
+  std::string discovery_in_file_;  // as it was last read
   const SteadyClock clock_;
   core::Balancer balancer_;
   Counters counters_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -24,7 +24,10 @@
     } catch (const std::exception& broken) {
       log::warning("discovery: {}", broken.what());
     }
-    if (shutter_.is_shut()) return;
+    {
+      std::lock_guard held(lock_);
+      if (stopped_) return;
+    }
     // The decisions ask again in their own time, with growing waits.
     ++counters_.watches_failed;
     balancer_.told(ListForm::failed, {});
@@ -34,27 +37,57 @@
 // A watch goes on only while the next call comes within 200 ms of the last answer: the connection is kept and
 // the next call written at once. Where the connection ends between two calls, a new one is made at once.
 void Watch::follow() {
-  while (calls_on_one_connection() && !shutter_.is_shut()) {
+  for (;;) {
+    sockaddr_in discovery;
+    std::shared_ptr<Shutter> shutter;
+    {
+      std::lock_guard held(lock_);
+      if (stopped_) return;
+      discovery = discovery_;
+      shutter = shutter_;
+      // Versions of two places have nothing to do with each other. Only this thread tells lists, so one of the
+      // old place that was still on the way can't come after the whole list of the new one.
+      if (std::exchange(moved_, false)) version_ = kWholeList;
+    }
+    if (!calls_on_one_connection(discovery, *shutter) && !shutter->is_shut()) return;
+  }
+}
+
+void Watch::stop() {
+  std::lock_guard held(lock_);
+  stopped_ = true;
+  shutter_->shut();
+}
+
+void Watch::move(const sockaddr_in& discovery) {
+  {
+    std::lock_guard held(lock_);
+    discovery_ = discovery;
+    moved_ = true;
+    std::exchange(shutter_, std::make_shared<Shutter>())->shut();
   }
+  balancer_.watch_now();
 }
 
 // True if the last one was answered, or at least one was and the connection has ended since.
-bool Watch::calls_on_one_connection() {
+bool Watch::calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter) {
   const Fd fd = new_socket();
   if (!fd) return false;
-  const Shutter::Hold hold(shutter_, fd.get());
-  if (shutter_.is_shut() || connect_to(fd.get(), discovery_, Moment::clock::now() + kPatience) != Io::done)
+  const Shutter::Hold hold(shutter, fd.get());
+  if (shutter.is_shut() || connect_to(fd.get(), discovery, Moment::clock::now() + kPatience) != Io::done)
     return false;
   Reader in(fd.get());
   for (bool answered = false;; answered = true) {
     const Moment asked = Moment::clock::now();
-    const std::string call = fmt::format("GET /discovery/hosts?index={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                                         version_, kWait.count(), address_text(discovery_));
+    const std::string which =
+        version_ == kWholeList ? "" : fmt::format("?index={}&wait={}", version_, kWait.count());
+    const std::string call = fmt::format("GET /discovery/hosts{} HTTP/1.1\r\nHost: {}\r\n\r\n", which,
+                                         address_text(discovery));
     if (write_all(fd.get(), call, asked + kPatience) != Io::done) return answered;
     Response r;
     const Got got = read_response(in, asked + kWait + kPatience, r, kMostList);
     if (got != Got::whole || r.status != 200) {
-      if (!shutter_.is_shut())
+      if (!shutter.is_shut())
         log::info("discovery: {}",
                   got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
       return answered && got != Got::whole;
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -1,6 +1,9 @@
 // Follows discovery's list for the decisions, for as long as they want it watched.
 #pragma once
 
+#include <memory>
+#include <mutex>
+
 #include "core/balancer.h"
 #include "net/counters.h"
 #include "net/directory.h"
@@ -14,19 +17,24 @@
         std::int64_t version)
       : balancer_(balancer), directory_(directory), counters_(counters), discovery_(discovery),
         version_(version) {}
-  void run();                       // until stop() here and at the balancer
-  void stop() { shutter_.shut(); }  // ends a call that is out
+  void run();                               // until stop() here and at the balancer
+  void stop();                              // ends a call that is out
+  void move(const sockaddr_in& discovery);  // the same, and goes on at another place from its whole list on
 
  private:
+  static constexpr std::int64_t kWholeList = -1;  // no version is known
+
   void follow();  // until a call fails
-  bool calls_on_one_connection();
+  bool calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter);
 
   core::Balancer& balancer_;
   Directory& directory_;
   Counters& counters_;
-  const sockaddr_in discovery_;
-  std::int64_t version_;
-  Shutter shutter_;
+  std::mutex lock_;  // over the place, how to end its calls, and whether it is over
+  sockaddr_in discovery_;
+  std::shared_ptr<Shutter> shutter_ = std::make_shared<Shutter>();  // a new one for each place
+  bool moved_ = false, stopped_ = false;
+  std::int64_t version_;  // used by run() alone
 };
 
 }  // namespace troutstage::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,10 @@
+#include <spawn.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 
 #include "net/exchange.h"
 #include "stand_in.h"
@@ -21,11 +27,6 @@
   }
 };
 
-std::string closed_port() {
-  const Fd fd = listen_on(parse_address("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(port_of(fd.get()));
-}
-
 // Counts as they stand once nothing is held: they must add up.
 void check_sums(const Counters& c) {
   CHECK(c.taken == c.succeeded + c.rejected + c.given_up + c.client_gone + c.broke_inside);
@@ -357,6 +358,55 @@
   CHECK(node.counters().watches_failed == 3);
 }
 
+TEST_CASE("on SIGHUP the program goes on, and its file's new discovery wins over all that was told before",
+          "[net]") {
+  // It once died of the signal; and a version of the old place, or a late list of it, must count for nothing.
+  Server backend(always(ok("")));
+  Flag old_asked, old_ended, new_told;
+  Server before([&](const Server::Call& call) {
+    old_asked.set();
+    call.server.ended(call);
+    old_ended.set();
+    return ok(list(90, true, {closed_port()}));
+  });
+  std::vector<std::string> asked;
+  Server after([&](const Server::Call& call) {
+    asked.push_back(call.head.substr(0, call.head.find('&')));
+    if (call.number == 0) return ok(list(3, true, {backend.address()}));
+    if (call.number == 1) new_told.set();
+    return no_news(call);
+  });
+  const auto path = std::filesystem::temp_directory_path() / ("troutstage-" + std::to_string(::getpid()));
+  const std::string file = path.string(), listen = closed_port();
+  const auto write_file = [&](const std::string& text) { std::ofstream(file) << text; };
+  write_file(config_text(list(80, true, {}), before.address(), 1024, listen));
+  const std::string variable = "RELAY_DISCOVERY=" + before.address();
+  const char* arguments[] = {TROUTSTAGE_PROGRAM, "serve", "--config", file.c_str(), nullptr};
+  const char* variables[] = {variable.c_str(), nullptr};
+  pid_t program = 0;
+  REQUIRE(::posix_spawn(&program, TROUTSTAGE_PROGRAM, nullptr, nullptr, const_cast<char**>(arguments),
+                        const_cast<char**>(variables)) == 0);
+  old_asked.await();
+  write_file("{\"name\":");  // can't be used: the old one stays
+  REQUIRE(::kill(program, SIGHUP) == 0);
+  Visitor visitor(listen);
+  while (visitor.ask("GET /counters HTTP/1.1\r\n\r\n").body.find("reloads_failed 1\n") == std::string::npos)
+    std::this_thread::yield();
+  write_file(config_text("[]", after.address(), 1024, listen));
+  REQUIRE(::kill(program, SIGHUP) == 0);
+  old_ended.await();
+  new_told.await();
+  CHECK(visitor.ask(request("view")).status == 200);
+  REQUIRE(::kill(program, SIGTERM) == 0);
+  int status = -1;
+  REQUIRE(::waitpid(program, &status, 0) == program);
+  CHECK(status == 0);
+  CHECK(asked == std::vector<std::string>{
+                     "GET /discovery/hosts HTTP/1.1\r\nHost: " + after.address() + "\r\n\r\n",
+                     "GET /discovery/hosts?index=3"});
+  std::filesystem::remove(path);
+}
+
 TEST_CASE("discovery that answers without waiting and without news is not asked without end", "[net]") {
   Flag enough;
   std::vector<Moment> asked;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -134,23 +134,29 @@
   return "";
 }
 
-inline Config config(const std::string& known, const std::string& discovery, int descriptors = 1024) {
+inline std::string config_text(const std::string& known, const std::string& discovery, int descriptors = 1024,
+                               const std::string& listen = "127.0.0.1:0") {
   const auto workload = [](const std::string& name, const std::string& semantics) {
     return "{\"name\":\"" + name + "\",\"semantics\":\"" + semantics +
            "\",\"group\":\"cell\",\"window\":2000000,\"due-time\":2000000,\"time-limit\":4000000,\"billing-"
            "value\":1}";
   };
-  Config c = read_config(R"({"name":"n0","listen":"127.0.0.1:0","seed":"2a","limits":{"sockets":)" +
-                         std::to_string(descriptors) + R"(},"known":)" + known +
-                         R"(,"settings":{"zone":"east","zones":["east","west"],"instances":1,"tick":5000,
+  return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery +
+         R"(","seed":"2a","limits":{"sockets":)" + std::to_string(descriptors) + R"(},"known":)" + known +
+         R"(,"settings":{"zone":"east","zones":["east","west"],"instances":1,"tick":5000,
       "discovery":"on_request","bounds":{"max-hand-offs":3,"cancel":true,"probes":false,"second-copies":true,
       "retry-after":false,"max-retry-after":0,"connect-timeout":250000,"keepalive":10000000},
       "rules":{"drain-grace":500000,"ask-within":400000,"fall":1000000,"warm-within":20000000,"fall-multiple":3.0,
       "cold-from":0.12},"workloads":[)" +
-                         workload("view", "repeatable") + "," + workload("order", "by_key") + "," +
-                         workload("pay", "once") + "]}}");
-  c.discovery = discovery;
-  return c;
+         workload("view", "repeatable") + "," + workload("order", "by_key") + "," + workload("pay", "once") +
+         "]}}";
+}
+inline Config config(const std::string& known, const std::string& discovery, int descriptors = 1024) {
+  return read_config(config_text(known, discovery, descriptors));
+}
+inline std::string closed_port() {
+  const Fd fd = listen_on(parse_address("127.0.0.1:0"));
+  return "127.0.0.1:" + std::to_string(port_of(fd.get()));
 }
 
 // A node before some backends, and a client's connection to it.
@@ -165,10 +171,10 @@
 
 class Visitor {
  public:
-  explicit Visitor(const Node& node) : fd_(new_socket()), in_(fd_.get()) {
-    REQUIRE(connect_to(fd_.get(), parse_address("127.0.0.1:" + std::to_string(node.port())), soon()) ==
-            Io::done);
+  explicit Visitor(const std::string& address) : fd_(new_socket()), in_(fd_.get()) {
+    REQUIRE(connect_to(fd_.get(), parse_address(address), soon()) == Io::done);
   }
+  explicit Visitor(const Node& node) : Visitor("127.0.0.1:" + std::to_string(node.port())) {}
   void send(const std::string& bytes) { REQUIRE(write_all(fd_.get(), bytes, soon()) == Io::done); }
   Got receive(Response& r) { return read_response(in_, soon(), r); }
   bool tries(const std::string& bytes) {  // false: the connection ended
