A time-out before an answer would be slow tells nothing of its backend

Probe: every ended hand-off logged with backend, workload and time. From 46 s on a fifth of all hand-offs, at every backend and in every workload alike, timed out after 8 to 90 ms: clients sent limits shorter than an answer takes. Ruled out: connects (none failed), the list (entries came in time), new ids at old addresses, one bad backend. At fault: src/decide.cpp, on(HandOffEnded): learn_limit and learn_health took each such time-out for a jam and a sickness. Change: a time-out counts only if it came later than an answer that is slow. A hung backend is still told by usual limits. Test: scenario hasty_clients, without the fix all 100 usual invocations are turned away, with it none.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -240,8 +240,9 @@
         e.ending == Ending::turned_away || e.ending == Ending::unreachable || e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
-    learn_limit(b, h, v, e);
-    learn_health(b, v, e);
+    // A client may allow less time than good answers take: that it ran out then tells nothing of the backend.
+    // Held against all of them, hasty clients had the others turned away by a fleet that was well.
+    if (e.ending != Ending::timed_out || e.took > slow_after(v)) learn_limit(b, h, v, e), learn_health(b, v, e);
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
