Lost connections tell of no jam, and a run of bad endings counts only beyond chance

One hand-off in eight ended with a reset, at every backend alike. Probes: (1) every ending with backend and time: resets come within 2 ms, on new and kept connections alike (14 and 10%), so pooling is not the cause; (2) the module's state at every 50th rejection: first the node's limit was far under what the fleet took, then, with that mended, 8 to 10 of 12 backends were distrusted while the fleet's own share was 0.86. At fault, src/decide.cpp: learn_limit took each lost connection for a slow answer of the node; learn_health voided the good endings at three bad ones in a row and kept the bad ones, so that a backend stayed out till those were forgotten. Change: a lost connection counts for the limit only after an answer would be slow; a run voids both, good and bad, once it is longer than chance brings at the fleet's own share (three at the least).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,6 +59,7 @@
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;  // a doubtful backend must be drawn to reach this part of the fleet's success
+constexpr double kChance = 0.001;  // what is less likely than this is no chance
 constexpr double kRoomNear =
     0.35;                        // own-zone backends fuller than this part of their limit are like any other
 constexpr double kSlowAt = 0.5;  // ... than this part of the due time
@@ -244,9 +245,13 @@
         e.ending == Ending::turned_away || e.ending == Ending::unreachable || e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
     --total_out_;
-    // A client may allow less time than good answers take: that it ran out then tells nothing of the backend.
-    // Held against all of them, hasty clients had the others turned away by a fleet that was well.
-    if (e.ending != Ending::timed_out || e.took > slow_after(v)) learn_limit(b, h, v, e), learn_health(b, v, e);
+    // What ended without an answer before one would be slow tells nothing of how full a backend is, and a
+    // time-out nothing of its health either: held against a fleet that was well, the short limits of some
+    // clients, or a network that resets one connection in ten, had most others turned away.
+    const bool lost = e.ending == Ending::unreachable || e.ending == Ending::broken;
+    const bool slow = e.took > slow_after(v), timed_out = e.ending == Ending::timed_out;
+    if (slow || !(timed_out || lost)) learn_limit(b, h, v, e);
+    if (slow || !timed_out) learn_health(b, v, e);
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
       b.done.add(now_, h.work);
@@ -603,7 +608,13 @@
       good_.add(now_, 1);
       return;
     }
-    if (++b.bad_run == 3) b.good.clear();  // it has changed: what it did before tells nothing
+    // A run of them that chance alone would hardly bring: it has changed, and what it did before tells nothing,
+    // bad or good. With connections reset everywhere three in a row come often, and their backends were left out
+    // for as long as the bad ones of before were remembered.
+    const double share = bad_.total(now_) / (good_.total(now_) + bad_.total(now_) + 1);
+    if (++b.bad_run >= 3 && std::pow(share, b.bad_run) < kChance &&
+        (b.bad_run == 3 || std::pow(share, b.bad_run - 1) >= kChance))
+      b.good.clear(), b.bad.clear(), b.bad.add(now_, b.bad_run - 1);
     // A busy backend answers some in time and some not: only late ones with none in time between them are
     // doubt, or the first where this node hears of it too rarely to know better.
     if (late && b.bad_run < 3 && b.good.total(now_) >= 1) return;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -52,6 +52,7 @@
   bool open = false;  // answers on open connections; new ones fail
   Ending ending = Ending::succeeded;
   Tenths after = 0, probe = 0;
+  int resets = 0;  // one hand-off in so many breaks at once
 };
 
 class Player {
@@ -83,7 +84,8 @@
                            how == "open",
                            silent || how == "open" ? Ending::succeeded : kEndings.at(how),
                            l.span("after", 10),
-                           l.span("probe", 1)};
+                           l.span("probe", 1),
+                           static_cast<int>(l.number("resets", 0))};
   }
 
   struct Out {
@@ -247,6 +249,8 @@
       const bool fails = way != ways_.end() && way->second.open && idle_[backend] == 0;
       if (idle_[backend] > 0) --idle_[backend];
       if (fails) ++counts_["unconnected"];
+      if (way != ways_.end() && way->second.resets > 0 && ++handed_off_ % way->second.resets == 0)
+        later_.push_back({now_ + kMs, name, number, Ending::broken});
       if (way != ways_.end() && !way->second.silent)
         later_.push_back(
             {now_ + way->second.after, name, number, fails ? Ending::unreachable : way->second.ending});
@@ -304,7 +308,7 @@
   std::multiset<Tenths> timers_;
   std::vector<Later> later_;
   std::deque<std::string> seen_;
-  int flowed_ = 0;
+  int flowed_ = 0, handed_off_ = 0;
 };
 
 }  // namespace
