Only so many clients may stay idle: those that ask once and stay starved the others

Seen: from 2.8 s on two thirds of all requests were refused on the clients' side and a node took 60 a second of 300, with nothing rejected, few in flight and backends quick. Probe (connections by state, every 250 ms): 122 to 165 connections idle and 80 silent, 2 to 30 worked for, descriptors free. Clients may hold a third of the descriptors, 128 here: nearly all of them had been asked on once and were kept. Ruled out: limits and health in the module (no state printed at rejections, there were none), descriptors, threads, the restarts at 7 and 10 s (it began before). At fault: src/net/lobby.cpp, which bounded only those that have said nothing yet. Change: so many may wait for each thing; idle ones a sixth of the descriptors, then the one idle the longest goes. Test: ten clients ask and stay; the first is let go at once, not after 8 s.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -608,9 +608,9 @@
       good_.add(now_, 1);
       return;
     }
-    // A run of them that chance alone would hardly bring: it has changed, and what it did before tells nothing,
-    // bad or good. With connections reset everywhere three in a row come often, and their backends were left out
-    // for as long as the bad ones of before were remembered.
+    // A run of them that chance alone would hardly bring: it has changed, and what it did before tells
+    // nothing, bad or good. With connections reset everywhere three in a row come often, and their backends
+    // were left out for as long as the bad ones of before were remembered.
     const double share = bad_.total(now_) / (good_.total(now_) + bad_.total(now_) + 1);
     if (++b.bad_run >= 3 && std::pow(share, b.bad_run) < kChance &&
         (b.bad_run == 3 || std::pow(share, b.bad_run - 1) >= kChance))
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-Lobby::Lobby(Ready ready, std::size_t most_first)
-    : ready_(std::move(ready)), most_first_(most_first), poll_(::epoll_create1(EPOLL_CLOEXEC)),
+Lobby::Lobby(Ready ready, const Most& most)
+    : ready_(std::move(ready)), most_(most), poll_(::epoll_create1(EPOLL_CLOEXEC)),
       wake_(::eventfd(0, EFD_CLOEXEC)) {
   epoll_event event{};
   event.events = EPOLLIN;
@@ -54,12 +54,12 @@
 }
 
 void Lobby::enter(std::shared_ptr<Client> client, Wait wait) {
-  std::shared_ptr<Client> over;  // closed after the lock is free
   std::lock_guard held(lock_);
-  // Hundreds that connect and say nothing must not take the places of those that ask.
-  if (wait == Wait::first && ++first_ > most_first_) {
-    const auto oldest =
-        std::find_if(all_.begin(), all_.end(), [](const auto& w) { return w.second.wait == Wait::first; });
+  // Hundreds that connect and say nothing, or ask once and stay, must not take the places of those that ask:
+  // a client that may have only so many connections could open no other for as long as all of them were kept.
+  if (++waiting_[static_cast<std::size_t>(wait)] > most_[static_cast<std::size_t>(wait)]) {
+    const auto oldest = std::find_if(all_.begin(), all_.end(),
+                                     [wait](const auto& waiting) { return waiting.second.wait == wait; });
     if (oldest != all_.end()) leave(oldest);
   }
   const Moment now = Moment::clock::now();
@@ -76,7 +76,7 @@
   Waiting gone = std::move(at->second);
   all_.erase(at);
   ::epoll_ctl(poll_.get(), EPOLL_CTL_DEL, gone.client->fd(), nullptr);
-  if (gone.wait == Wait::first) --first_;
+  --waiting_[static_cast<std::size_t>(gone.wait)];
   // A request that has come is answered, whatever the connection was to leave for.
   if (gone.wait != Wait::end && holds_bytes(gone.client->fd())) ready_(std::move(gone.client));
 }
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -2,6 +2,7 @@
 // that one that is silent costs a descriptor and no more.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,9 +22,10 @@
     end     // it was told its last answer; what still comes is thrown away until it closes
   };
   using Ready = std::function<void(std::shared_ptr<Client>)>;
-  // `ready` is called for each connection on which something has come, on the lobby's thread. So many at the
-  // most wait for their first request.
-  Lobby(Ready ready, std::size_t most_first);
+  using Most = std::array<std::size_t, 3>;
+  // `ready` is called for each connection on which something has come, on the lobby's thread. So many may
+  // wait for each thing; beyond that the one that has waited for it the longest goes.
+  Lobby(Ready ready, const Most& most);
 
   void run();  // until stop()
   void stop();
@@ -44,13 +46,13 @@
   void close_old();
 
   const Ready ready_;
-  const std::size_t most_first_;
+  const Most most_;
   Fd poll_, wake_;
   std::mutex lock_;  // held while `ready` is called and clients are closed: these take other locks, never the
                      // reverse
   All all_;
   std::uint64_t next_ = 1;
-  std::size_t first_ = 0;  // how many wait for their first request
+  Most waiting_{};  // how many wait for each thing
 };
 
 }  // namespace troutstage::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -32,6 +32,13 @@
       2, std::min(budgeted(config) / 3 * 2, config.memory_mb * 1024 * 1024 / 2 / kEach));
 }
 
+// Of those that nobody works for. Idle ones are kept for what usual clients need: half of the third of the
+// descriptors that they may hold.
+Lobby::Most most_waiting(const Config& config) {
+  const std::size_t all = most_clients(config);
+  return {all / 3, std::max<std::size_t>(2, std::min(all, config.descriptors / 6)), all / 3};
+}
+
 // A connection is retired before the backend closes it: a tenth earlier, half a second at the least.
 std::chrono::microseconds idle_limit(Tenths keepalive) {
   return std::chrono::microseconds(
@@ -57,8 +64,7 @@
       bytes_(config_.memory_mb * 1024 * 1024 / 4),
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
       listener_(listen_on(parse_address(config_.listen))), reserve_(reserve(config_)),
-      lobby_([this](std::shared_ptr<Client> client) { work_for(std::move(client)); },
-             most_clients(config_) / 3),
+      lobby_([this](std::shared_ptr<Client> client) { work_for(std::move(client)); }, most_waiting(config_)),
       workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(6) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -313,6 +313,21 @@
   check_sums(fleet.node.counters());
 }
 
+TEST_CASE("clients that ask once and stay leave room for the same clients' next connections", "[net]") {
+  // Held for seconds, all connections that a client may have were soon of that kind, and it could open no other.
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()}, 36);  // twelve clients' connections, six of them idle
+  const Moment begun = Moment::clock::now();
+  std::vector<std::unique_ptr<Visitor>> visitors;
+  for (int i = 0; i < 10; ++i) {
+    visitors.push_back(std::make_unique<Visitor>(fleet.node));
+    CHECK(visitors.back()->ask(request("view")).status == 200);
+  }
+  CHECK(visitors.back()->ask(request("view")).status == 200);
+  CHECK(visitors.front()->ended());
+  CHECK(Moment::clock::now() - begun < std::chrono::seconds(5));
+}
+
 TEST_CASE("an error reaches its client, however much that goes on sending", "[net]") {
   // Closed over unread input, the connection was reset, and the error lost with it.
   Fleet fleet({closed_port()});
