--- a/src/net/threads.h
+++ b/src/net/threads.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
+#include <vector>
 
 namespace troutstage::net {
 
@@ -17,14 +18,21 @@
   void finish();  // waits until every job is done
 
  private:
-  static void* enter(void* self);
-  void work();
+  // Where a thread waits for its next job. Whoever calls it has a share, since it may be gone meanwhile.
+  struct Seat {
+    std::condition_variable called;
+    std::function<void()> job;
+  };
+  struct Start;
+
+  static void* enter(void* start);
+  void work(std::function<void()> job);
 
   const std::size_t most_;
   std::mutex lock_;
-  std::condition_variable has_job_, fewer_;
-  std::deque<std::function<void()>> jobs_;
-  std::size_t all_ = 0, idle_ = 0;
+  std::condition_variable fewer_;
+  std::vector<std::shared_ptr<Seat>> idle_;  // the one that has been idle the longest first
+  std::size_t all_ = 0;
   bool finishing_ = false;
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "net/exchange.h"
 #include "stand_in.h"
@@ -528,6 +529,27 @@
   CHECK(done == 3);
 }
 
+TEST_CASE("the thread that was idle last gets the next job, so that those that are too many end", "[net]") {
+  // Taken in turn, as many as were once busy at the same moment stayed for as long as anything came.
+  Threads threads(64);
+  Flag go_on;
+  const Moment limit = soon(4000);
+  std::atomic<int> begun{0};
+  for (int i = 0; i < 16; ++i) REQUIRE(threads.run([&] { ++begun, go_on.await(); }));
+  while (begun < 16) std::this_thread::yield();
+  go_on.set();
+  std::set<std::thread::id> used;
+  do {
+    used.clear();
+    for (int i = 0; i < 64; ++i) {
+      Flag done;
+      REQUIRE(threads.run([&] { used.insert(std::this_thread::get_id()), done.set(); }));
+      done.await();
+    }
+  } while (used.size() > 3 && Moment::clock::now() < limit);
+  CHECK(used.size() <= 3);
+}
+
 TEST_CASE("with no descriptor left a node goes on, and serves once there is one", "[net]") {
   Server backend(always(ok("")));
   Fleet fleet({backend.address()});
