--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -416,12 +416,18 @@
                : std::min(v.valid_until, v.arrived + w.due_time);
   }
 
+  // Where places are scarce, one that is told to need more than the time it has left takes none: clients that
+  // ask again and again with short limits filled the backends with work that nobody waited for any more.
+  bool beyond_hope(const Invocation& v) const {
+    return full() && v.hinted && static_cast<double>(worth_until(v) - now_) < v.work;
+  }
+
   // Hands an invocation to the better of two fresh random ready backends; false where that can't be done.
   bool hand_off(Index i) {
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
-    if (total_out_ + uniform() >= node_limit_)
+    if (total_out_ + uniform() >= node_limit_ || beyond_hope(v))
       return false;  // below one in flight, chance gives the fraction
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
@@ -656,11 +662,11 @@
   void learn_limit(Backend& b, const HandOff& h, const Invocation& v, const HandOffEnded& e) {
     if (e.ending == Ending::error || e.ending == Ending::recalled || e.ending == Ending::never_sent) return;
     const bool late = e.ending != Ending::succeeded || e.took > slow_after(v);
-    const bool full = total_out_ + 1 > node_limit_ * 0.7;
     // With many nodes each sees too little of one backend; all its answers together tell it of a jam in time.
     const double anchor =
         std::sqrt(std::max(1.0, first_limit_ * static_cast<double>(running_.size())) / node_limit_);
-    if (full) node_limit_ += std::min(kStep * node_limit_, 1.0) * (late ? kJamShare - 1 : kJamShare * anchor);
+    const double whole = std::min(kStep * node_limit_, 1.0);
+    if (full()) node_limit_ += whole * (late ? kJamShare - 1 : kJamShare * anchor);
     node_limit_ = std::max({0.1, node_limit_, least_limit_ * static_cast<double>(running_.size())});
     // A lost connection says nothing of how much a backend can take; held against it, it would keep it small
     // once it is well.
@@ -668,10 +674,12 @@
     const double step =
         std::min(kStep * b.limit, 1.0);  // the same over a whole round of answers, large or small
     if (late) b.limit -= step * (1 - kLateShare);
-    else if (h.out_before + 1 > b.limit / 2 || full) b.limit += step * kLateShare;
+    else if (h.out_before + 1 > b.limit / 2 || full()) b.limit += step * kLateShare;
     b.limit = std::clamp(b.limit, least_limit_, kMostLimit);
   }
 
+  bool full() const { return total_out_ + 1 > node_limit_ * 0.7; }
+
   // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign
   // of a queue.
   Tenths slow_after(const Invocation& v) const {
@@ -693,8 +701,8 @@
     const Tenths until = v.arrived + patience;
     // With nothing out no ending would serve it: it would only be held up.
     const bool idle = total_out_ == 0 && !running_.empty();
-    if (idle || v.repeat || until <= now_ || !may_reject(v) || now_ + margin_ >= v.valid_until)
-      return answer(i);
+    const bool late = until <= now_ || now_ + margin_ >= v.valid_until;
+    if (idle || v.repeat || beyond_hope(v) || late || !may_reject(v)) return answer(i);
     v.waiting = true;
     waiting_.push_back(i);
     at(until, i);
