--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -480,10 +480,11 @@
   // Two fresh random ready ones; b stays kNone where only one is ready.
   bool draw_two(const Invocation& v, Index& a, Index& b) {
     // The own zone first, while two backends there have room to spare: links between zones cost time and
-    // money.
+    // money. One whose limit is shorter than a slow answer has no time for them while there is any place near.
     if (own_zone_.size() >= 2 && v.soundings == 0) {
-      a = draw_ready(v, own_zone_, kNone, kRoomNear);
-      if (a != kNone) b = draw_ready(v, own_zone_, a, kRoomNear);
+      const double part = worth_until(v) - now_ < slow_after(v) ? 1 : kRoomNear;
+      a = draw_ready(v, own_zone_, kNone, part);
+      if (a != kNone) b = draw_ready(v, own_zone_, a, part);
     }
     if (b != kNone) return true;
     a = draw_ready(v, members_, kNone, 1);
