--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -71,6 +71,11 @@
   ticket->changed.notify_one();
 }
 
+bool Balancer::answered(const Ticket& ticket) {
+  std::lock_guard held(lock_);
+  return ticket->final;
+}
+
 void Balancer::tick() {
   std::unique_lock held(lock_);
   if (due_ > clock_.now()) return;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -50,6 +50,7 @@
   // How a hand-off ended: once for each that pick() gave out, also when it was recalled meanwhile.
   void report(const Ticket& ticket, int number, Ending ending);
   void client_gone(const Ticket& ticket);
+  bool answered(const Ticket& ticket);  // its last step stands, and nothing goes out any more
 
   void tick();       // does what has come due
   void run_ticks();  // ticks whenever something comes due, until stop()
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -781,13 +781,16 @@
     bool operator>(const Due& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
   };
   void at(Tenths when, Index i) { due_.push({when, order_++, i, i == kNone ? 0 : invocations_[i].life}); }
+  bool over(const Due& d) const {
+    return d.invocation != kNone && invocations_[d.invocation].life != d.life;
+  }
   void run_due() {
     while (!due_.empty() && due_.top().at <= now_) {
       const Due d = due_.top();
       due_.pop();
       if (d.invocation == kNone) {
         actions_.push_back({Do::watch, kNone, kNone, 0, 0});
-      } else if (invocations_[d.invocation].life == d.life) {
+      } else if (!over(d)) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation);
         else if (v.sound_until > 0 && v.sound_until <= now_) settle(d.invocation);
@@ -796,6 +799,9 @@
     }
   }
   void arm() {
+    // What is over needs no time of its own: nearly every invocation ends before its limit, and the node was
+    // woken once for each.
+    while (!due_.empty() && over(due_.top())) due_.pop();
     if (due_.empty() || (armed_ > now_ && armed_ <= due_.top().at)) return;
     armed_ = due_.top().at;
     actions_.push_back({Do::set_timer, kNone, kNone, 0, armed_});
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -15,6 +15,7 @@
 // with an answer to what can't be read begins.
 constexpr std::chrono::milliseconds kSlowestRequest{2500};
 constexpr std::chrono::seconds kSlowestReader{2};
+constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr std::string_view kText = "text/plain";
 
@@ -39,7 +40,19 @@
   node_.closed(has_place_);
 }
 
+// One that was rejected and asks again at once is served on by the same thread: each way through the lobby
+// costs more than a rejection, and thousands of them a second were all that a node could do.
 std::optional<Lobby::Wait> Client::serve() {
+  for (;;) {
+    rejected_ = false;
+    const auto wait = serve_one();
+    const bool stays = wait == Lobby::Wait::once || wait == Lobby::Wait::next;
+    if (!stays || !rejected_ || wait_readable(fd_.get(), Moment::clock::now() + kAtOnce) != Io::done)
+      return wait;
+  }
+}
+
+std::optional<Lobby::Wait> Client::serve_one() {
   const auto work = std::make_shared<Work>(node_);
   BadRequest bad;
   std::optional<Request> request;
@@ -56,7 +69,7 @@
   work->request = std::move(*request);
   if (answer(work, node_.clock_.now())) {
     in_.shrink();
-    return Lobby::Wait::next;
+    return std::exchange(came_back_, true) ? Lobby::Wait::next : Lobby::Wait::once;
   }
   // What is still unread would turn the closing into a reset, and that could overtake the answer.
   ::shutdown(fd_.get(), SHUT_WR);
@@ -126,7 +139,7 @@
     // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
     // request that crossed it was then lost.
     std::optional<Vigil::Over> vigil;
-    if (lasts_) vigil.emplace(node_.vigil_, fd_.get(), ticket);
+    if (lasts_ && !node_.balancer_.answered(ticket)) vigil.emplace(node_.vigil_, fd_.get(), ticket);
     for (;;) {
       const core::Step step = node_.balancer_.pick(ticket);
       if (step.what == core::Next::hand_off) hand_off(work, step);
@@ -156,6 +169,7 @@
   }
   if (step.what == core::Next::give_up) return ++node_.counters_.given_up, reply(502, "given up\n", keep);
   ++node_.counters_.rejected;
+  rejected_ = true;
   const auto retry = fmt::format("Retry-After: {:.4f}\r\n", static_cast<double>(step.retry_in) / 1e4);
   return reply(503, "rejected\n", keep, step.retry_in > 0 ? retry : "");
 }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -13,7 +13,8 @@
   Client(Node& node, Fd fd, bool has_place);
   ~Client();
   int fd() const { return fd_.get(); }
-  // Serves the request that has come; what the connection waits for then. Nothing: it is over.
+  // Serves the request that has come, and what follows on it at once; what the connection waits for then.
+  // Nothing: it is over.
   std::optional<Lobby::Wait> serve();
   void turn_away();   // the same where no thread is to be had: it blocks on nothing
   bool throw_away();  // some of what came after the last answer; false: it is over
@@ -21,6 +22,7 @@
  private:
   struct Work;  // what the hand-offs of one invocation share
 
+  std::optional<Lobby::Wait> serve_one();
   std::optional<Lobby::Wait> refuse(const BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived, Index workload);
@@ -34,9 +36,11 @@
   Fd fd_;
   Reader in_;
   const Moment connected_ = Moment::clock::now();
-  bool first_ = true;     // no request has been read yet
-  bool lasts_ = true;     // false: this request is the last one
-  const bool has_place_;  // else its one request is turned away
+  bool first_ = true;       // no request has been read yet
+  bool came_back_ = false;  // asked a second time
+  bool rejected_ = false;   // its last request was
+  bool lasts_ = true;       // false: this request is the last one
+  const bool has_place_;    // else its one request is turned away
   std::size_t thrown_away_ = 0;
 };
 
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -16,8 +16,8 @@
 
 // How long a connection may stay. A client that says nothing has to be let go within three seconds of its
 // connecting; after a request it has come to stay for a while.
-constexpr std::chrono::milliseconds kStay[] = {std::chrono::milliseconds(2000), std::chrono::seconds(8),
-                                               std::chrono::milliseconds(1000)};
+constexpr std::chrono::milliseconds kStay[] = {std::chrono::milliseconds(2000), std::chrono::seconds(2),
+                                               std::chrono::seconds(8), std::chrono::milliseconds(1000)};
 constexpr std::chrono::milliseconds kLook{100};  // how exactly that is kept
 
 }  // namespace
@@ -99,11 +99,11 @@
   }
 }
 
-// One that was told its last answer, else the one that has been idle the longest, else one that has said
-// nothing yet: its request may be on the way.
+// One that was told its last answer, else one that asked only once, else the one that has been idle the
+// longest, else one that has said nothing yet: its request may be on the way.
 bool Lobby::make_room() {
   std::lock_guard held(lock_);
-  for (const Wait wait : {Wait::end, Wait::next, Wait::first}) {
+  for (const Wait wait : {Wait::end, Wait::once, Wait::next, Wait::first}) {
     for (auto at = all_.begin(); at != all_.end(); ++at) {
       if (at->second.wait != wait || (wait != Wait::end && holds_bytes(at->second.client->fd()))) continue;
       leave(at);
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -18,11 +18,12 @@
  public:
   enum class Wait {
     first,  // nothing has come on it yet
-    next,   // for the next request
+    once,   // for a second request, which may never come
+    next,   // for the next one
     end     // it was told its last answer; what still comes is thrown away until it closes
   };
   using Ready = std::function<void(std::shared_ptr<Client>)>;
-  using Most = std::array<std::size_t, 3>;
+  using Most = std::array<std::size_t, 4>;
   // `ready` is called for each connection on which something has come, on the lobby's thread. So many may
   // wait for each thing; beyond that the one that has waited for it the longest goes.
   Lobby(Ready ready, const Most& most);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -99,13 +99,17 @@
 Io wait_readable(int fd, Moment limit) { return wait_for(fd, POLLIN, limit); }
 
 Io read_some(int fd, std::string& into, Moment limit) {
-  if (const Io io = wait_readable(fd, limit); io != Io::done) return io;
   char bytes[8192];
   for (;;) {
-    const ssize_t n = ::recv(fd, bytes, sizeof bytes, 0);
+    // Looked at first: what is waited for is often there already, and a storm is made of such requests.
+    const ssize_t n = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     if (n > 0) return into.append(bytes, static_cast<std::size_t>(n)), Io::done;
     if (n == 0) return Io::ended;
-    if (errno != EINTR) return Io::broken;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      if (const Io io = wait_readable(fd, limit); io != Io::done) return io;
+    } else if (errno != EINTR) {
+      return Io::broken;
+    }
   }
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -112,6 +112,25 @@
   CHECK(f.balancer.pick(v).what == Next::give_up);
 }
 
+TEST_CASE("what is over wakes nobody at its limit", "[core]") {
+  // Nearly every invocation ends long before it, and each had a timer of its own.
+  Decider decider(Facade::settings(Semantics::redoable), 1000000);
+  ListEntry entry;
+  entry.backend = entry.zone = 0;
+  decider.decide(1000000, FleetList{ListForm::full, {entry}});
+  int timers = 0;
+  const auto tell = [&](Tenths now, const Event& event) {
+    for (const Action& a : decider.decide(now, event)) timers += a.what == Do::set_timer;
+  };
+  Tenths now = 1000000;
+  for (int i = 0; i < 300; ++i, now += 10 * kMs) {
+    tell(now, Arrival{0, 0, kNone, now + 1500 * kMs, 0, false});
+    tell(now + kMs, HandOffEnded{0, 0, Ending::succeeded, true, kMs, -1});
+    if (i % 10 == 0) tell(now + 2 * kMs, TimerDue{});
+  }
+  CHECK(timers < 10);
+}
+
 TEST_CASE("with no backend an invocation is rejected, not held", "[core]") {
   Facade f(Semantics::irreversible, 0);
   const Ticket v = f.take();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -329,6 +329,21 @@
   CHECK(Moment::clock::now() - begun < std::chrono::seconds(5));
 }
 
+TEST_CASE("clients that asked only once leave before those that came back", "[net]") {
+  // The usual clients' connections were the oldest, went first, and were all made anew.
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()}, 36);  // twelve clients' connections
+  Visitor usual(fleet.node);
+  for (int i = 0; i < 2; ++i) CHECK(usual.ask(request("view")).status == 200);
+  std::vector<std::unique_ptr<Visitor>> once;
+  for (int i = 0; i < 10; ++i) {
+    once.push_back(std::make_unique<Visitor>(fleet.node));
+    CHECK(once.back()->ask(request("view")).status == 200);
+  }
+  CHECK(once.front()->ended());
+  CHECK(usual.ask(request("view")).status == 200);
+}
+
 TEST_CASE("an error reaches its client, however much that goes on sending", "[net]") {
   // Closed over unread input, the connection was reset, and the error lost with it.
   Fleet fleet({closed_port()});
