--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -9,7 +9,9 @@
 namespace troutstage::net {
 namespace {
 
-constexpr std::chrono::milliseconds kWait{20000};     // what discovery is asked to wait at the most
+// What discovery is asked to wait at the most. A connection that has fallen silent looks like one with no news:
+// for as long as this is, and some patience, what has gone stays listed and what is new stays idle.
+constexpr std::chrono::milliseconds kWait{3000};
 constexpr std::chrono::milliseconds kPatience{2000};  // for a connection, and for an answer after that wait
 constexpr std::chrono::milliseconds kTooSoon{100};    // for an answer with no news
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -448,6 +448,23 @@
   CHECK(node.counters().watches_failed == 3);
 }
 
+TEST_CASE("a watch whose connection has fallen silent is begun again soon", "[net]") {
+  // It looks like one with no news: for 22 s what was gone stayed listed, and what was new idle.
+  Server backend(always(ok("")));
+  Flag told;
+  Server discovery([&](const Server::Call& call) {
+    if (call.number == 1) return ok(list(2, true, {backend.address()}));
+    if (call.number == 2) told.set();
+    return no_news(call);
+  });
+  Node node(config(list(1, true, {closed_port()}), discovery.address()));
+  const Moment limit = soon(12000);
+  node.start();
+  told.await();
+  CHECK(Moment::clock::now() < limit);
+  CHECK(Visitor(node).ask(request("view")).status == 200);
+}
+
 TEST_CASE("on SIGHUP the program goes on, and its file's new discovery wins over all that was told before",
           "[net]") {
   // It once died of the signal; and a version of the old place, or a late list of it, must count for nothing.
