Watches grow longer where discovery turns calls away, so that short ones don't overbook it

Change: a call that is answered with anything but 200 doubles the next one's wait, up to 24 s; each answer halves it, down to 3 s. Silence leaves it as it is: that is what short waits are for. Test: the waits of the calls to a discovery that answers 503, noise and then lists.

--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "log/log.h"
 #include "net/http.h"
 #include "net/protocol.h"
@@ -10,8 +12,9 @@
 namespace {
 
 // What discovery is asked to wait at the most. A connection that has fallen silent looks like one with no news:
-// for as long as this is, and some patience, what has gone stays listed and what is new stays idle.
-constexpr std::chrono::milliseconds kWait{3000};
+// for as long as this is, and some patience, what has gone stays listed and what is new stays idle. Each call
+// is work for discovery, though: where it turns calls away they grow longer, and shorter again with each answer.
+constexpr std::chrono::milliseconds kWait{3000}, kLongestWait{24000};
 constexpr std::chrono::milliseconds kPatience{2000};  // for a connection, and for an answer after that wait
 constexpr std::chrono::milliseconds kTooSoon{100};    // for an answer with no news
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
@@ -79,21 +82,24 @@
   if (shutter.is_shut() || connect_to(fd.get(), discovery, Moment::clock::now() + kPatience) != Io::done)
     return false;
   Reader in(fd.get());
+  wait_ = std::max(kWait, wait_);
   for (bool answered = false;; answered = true) {
     const Moment asked = Moment::clock::now();
     const std::string which =
-        version_ == kWholeList ? "" : fmt::format("?index={}&wait={}", version_, kWait.count());
+        version_ == kWholeList ? "" : fmt::format("?index={}&wait={}", version_, wait_.count());
     const std::string call =
         fmt::format("GET /discovery/hosts{} HTTP/1.1\r\nHost: {}\r\n\r\n", which, address_text(discovery));
     if (write_all(fd.get(), call, asked + kPatience) != Io::done) return answered;
     Response r;
-    const Got got = read_response(in, asked + kWait + kPatience, r, kMostList);
+    const Got got = read_response(in, asked + wait_ + kPatience, r, kMostList);
     if (got != Got::whole || r.status != 200) {
       if (!shutter.is_shut())
         log::info("discovery: {}",
                   got == Got::whole ? fmt::format("status {}", r.status) : "no whole answer");
+      if (got == Got::whole) wait_ = std::min(kLongestWait, wait_ * 2);
       return answered && got != Got::whole;
     }
+    wait_ = std::max(kWait, wait_ / 2);
     const Listing list = directory_.read(r.body, balancer_.released());
     version_ = list.version;
     log::debug("list {} {} with {} entries", list.version, list.full ? "full" : "delta", list.entries.size());
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -34,7 +34,8 @@
   sockaddr_in discovery_;
   std::shared_ptr<Shutter> shutter_ = std::make_shared<Shutter>();  // a new one for each place
   bool moved_ = false, stopped_ = false;
-  std::int64_t version_;  // used by run() alone
+  std::int64_t version_;              // this and the next: used by run() alone
+  std::chrono::milliseconds wait_{};  // what discovery is asked to wait for news
 };
 
 }  // namespace troutstage::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -424,9 +424,11 @@
 TEST_CASE("a watch goes on from the last version, and a failed one is begun again", "[net]") {
   Server backend(always(ok("")));
   Flag told;
-  std::vector<std::string> asked;
+  std::vector<std::string> asked, waits;  // a discovery that turns calls away is asked less often
   Server discovery([&](const Server::Call& call) {
-    asked.push_back(call.head.substr(0, call.head.find("&wait")));
+    const std::size_t wait = call.head.find("&wait");
+    asked.push_back(call.head.substr(0, wait));
+    waits.push_back(call.head.substr(wait + 6, call.head.find(' ', wait) - wait - 6));
     switch (call.number) {
       case 0: return std::string("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
       case 1: return std::string("not even HTTP");
@@ -446,6 +448,7 @@
   CHECK(asked ==
         std::vector<std::string>{call + "5", call + "5", call + "5", call + "5", call + "7", call + "9"});
   CHECK(node.counters().watches_failed == 3);
+  CHECK(waits == std::vector<std::string>{"3000", "6000", "6000", "3000", "3000", "3000"});
 }
 
 TEST_CASE("a watch whose connection has fallen silent is begun again soon", "[net]") {
