--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -71,6 +71,13 @@
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
 constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
+// How hand-offs ended lately.
+struct Health {
+  Health() { good.set_span(kSecond), bad.set_span(kSecond); }
+  Ring<8> good, bad;
+  int bad_run = 0;  // how many of the last ones in a row ended badly
+};
+
 struct Backend {
   bool known = false;
   bool told_to_stop = true;  // draining, gone or not listed (yet)
@@ -82,13 +89,13 @@
   Tenths started_at = 0;
   int out = 0;        // this node's own hand-offs in flight
   double limit = 0;   // how many of them may be in flight
-  Ring<8> good, bad;  // how hand-offs ended here lately
+  Health health;
+  std::vector<Health> by_workload;  // the same, each by itself: one may hang where the others are well
   int probes_out = 0;
   Tenths probe_took = -1;                // what the last probe took; -1: not known
   int idle = 0;                          // open connections of this node that nothing uses
   Tenths idle_until = 0;                 // when they close by themselves
   bool running = false, member = false;  // in the list; of those that this node keeps to
-  int bad_run = 0;                       // how many of the last ones in a row ended badly
   Ring<16> done;                         // work this node got done here
   Tenths draw_again = 0;                 // cold: when to draw next whether it may be sent one at all
   bool drawn = false;
@@ -143,7 +150,8 @@
     for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
     usual_work_ = usual_;
     started_.set_span(kSecond / 10);
-    for (Ring<8>* r : {&good_, &bad_, &connected_, &refused_}) r->set_span(kSecond);
+    for (Ring<8>* r : {&connected_, &refused_}) r->set_span(kSecond);
+    by_workload_.resize(s.workloads.size());
     if (ask_gap_ > 0) ask(now);
   }
 
@@ -174,10 +182,8 @@
         b.done.set_span(fall_bucket_ * 4);
         b.cold_sent.set_span(fall_bucket_);
         b.done.clear();
-        b.good.set_span(kSecond);
-        b.bad.set_span(kSecond);
-        b.good.clear();
-        b.bad.clear();
+        b.health = {};
+        b.by_workload.assign(workloads_.size(), {});
         b.idle = 0;
         b.limit = first_limit_;  // all nodes together start with as much, however many they are
       }
@@ -451,7 +457,7 @@
     ++b.held;
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
-    if (second_copies_ && v.out == 1 && b.good.total(now_) < 1) {
+    if (second_copies_ && v.out == 1 && b.health.good.total(now_) < 1) {
       v.copy_at = now_ + slow_after(v) * 2 / 3;  // in time for the copy, too
       at(v.copy_at, i);
     }
@@ -464,8 +470,8 @@
     v.copy_at = 0;
     if (v.out != 1 || v.hand_offs.back().ran != Ran::in_flight) return;
     Backend& b = backends_[v.hand_offs.back().backend];
-    ++b.bad_run;
-    b.bad.add(now_, 1), bad_.add(now_, 1);
+    ++b.health.bad_run;
+    b.health.bad.add(now_, 1), all_.bad.add(now_, 1);
     leave(v.hand_offs.back().backend);
     hand_off(i);
   }
@@ -550,7 +556,8 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    return b.out < std::max(1.0, b.limit * part) && trusted(b) && (try_new_ || connected(b)) &&
+    return b.out < std::max(1.0, b.limit * part) && trusted(b.health, all_) &&
+           trusted(b.by_workload[v.workload], by_workload_[v.workload]) && (try_new_ || connected(b)) &&
            may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, weighed(v));
   }
 
@@ -569,7 +576,7 @@
       Index n = kNone;
       for (int tries = 0; tries < kDraws && n == kNone; ++tries) {
         const Index drawn = running_[static_cast<std::size_t>(uniform() * running_.size()) % running_.size()];
-        if (!backends_[drawn].member && trusted(backends_[drawn])) n = drawn;
+        if (!backends_[drawn].member && trusted(backends_[drawn].health, all_)) n = drawn;
       }
       for (std::size_t k = 0; k < running_.size() && n == kNone; ++k)
         if (!backends_[running_[k]].member) n = running_[k];
@@ -590,7 +597,8 @@
     list_own_zone();
   }
   void leave(Index n) {
-    if (!backends_[n].member || members_.size() >= running_.size() || trusted(backends_[n], 0.5)) return;
+    if (!backends_[n].member || members_.size() >= running_.size()) return;
+    if (trusted(backends_[n].health, all_, 0.5)) return;
     backends_[n].member = false;
     members_.erase(std::find(members_.begin(), members_.end(), n));
     fill_members();
@@ -605,28 +613,35 @@
   // ---- health
 
   void learn_health(Backend& b, const Invocation& v, const HandOffEnded& e) {
-    if (e.ending == Ending::never_sent || e.ending == Ending::recalled) return;
+    if (e.ending == Ending::never_sent) return;
+    Health &own = b.by_workload[v.workload], &all = by_workload_[v.workload];
+    // Clients that leave one that hangs tell of their workload at this backend; of others they tell nothing.
+    if (e.ending == Ending::recalled) {
+      if (e.took > slow_after(v)) learn(own, all, false, true);
+      return;
+    }
     const bool late =
         e.ending == Ending::timed_out ||
         (e.ending == Ending::succeeded && e.took > workloads_[v.workload].due_time && !v.hinted);
-    if (e.ending == Ending::succeeded && !late) {
-      b.bad_run = 0;
-      b.good.add(now_, 1);
-      good_.add(now_, 1);
-      return;
-    }
+    const bool good = e.ending == Ending::succeeded && !late;
+    learn(own, all, good, late);
+    if (!learn(b.health, all_, good, late)) leave(static_cast<Index>(&b - backends_.data()));
+  }
+  // Whether it is no reason for doubt.
+  bool learn(Health& h, Health& all, bool good, bool late) {
+    if (good) return h.bad_run = 0, h.good.add(now_, 1), all.good.add(now_, 1), true;
     // A run of them that chance alone would hardly bring: it has changed, and what it did before tells
     // nothing, bad or good. With connections reset everywhere three in a row come often, and their backends
     // were left out for as long as the bad ones of before were remembered.
-    const double share = bad_.total(now_) / (good_.total(now_) + bad_.total(now_) + 1);
-    if (++b.bad_run >= 3 && std::pow(share, b.bad_run) < kChance &&
-        (b.bad_run == 3 || std::pow(share, b.bad_run - 1) >= kChance))
-      b.good.clear(), b.bad.clear(), b.bad.add(now_, b.bad_run - 1);
+    const double share = all.bad.total(now_) / (all.good.total(now_) + all.bad.total(now_) + 1);
+    if (++h.bad_run >= 3 && std::pow(share, h.bad_run) < kChance &&
+        (h.bad_run == 3 || std::pow(share, h.bad_run - 1) >= kChance))
+      h.good.clear(), h.bad.clear(), h.bad.add(now_, h.bad_run - 1);
     // A busy backend answers some in time and some not: only late ones with none in time between them are
     // doubt, or the first where this node hears of it too rarely to know better.
-    if (late && b.bad_run < 3 && b.good.total(now_) >= 1) return;
-    b.bad.add(now_, 1), bad_.add(now_, 1);
-    leave(static_cast<Index>(&b - backends_.data()));
+    if (late && h.bad_run < 3 && h.good.total(now_) >= 1) return true;
+    h.bad.add(now_, 1), all.bad.add(now_, 1);
+    return false;
   }
 
   // Whether connections come up at all is learned from all new ones together: where they don't, only backends
@@ -644,9 +659,9 @@
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
-  bool trusted(Backend& b, double least = 0) {
-    const double all = good_.total(now_) + 1, fleet = std::max(least, all / (all + bad_.total(now_)));
-    return likely(b.good.total(now_), b.bad.total(now_), kTrust * fleet);
+  bool trusted(Health& h, Health& all, double least = 0) {
+    const double good = all.good.total(now_) + 1, fleet = std::max(least, good / (good + all.bad.total(now_)));
+    return likely(h.good.total(now_), h.bad.total(now_), kTrust * fleet);
   }
   bool likely(double good, double bad, double least) {
     if (bad < 0.5) return true;
@@ -838,7 +853,8 @@
   double usual_out_ = 0;         // in flight from this node when it hands one out
   bool try_new_ = true;          // drawn for each hand-off: whether it may open a connection
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
-  Ring<8> good_, bad_;           // how all hand-offs ended lately
+  Health all_;                   // of all backends
+  std::vector<Health> by_workload_;
   int total_out_ = 0;
   double node_limit_ = 0;  // learned from all answers together
   Ring<10> started_;       // hand-offs begun in the last second
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -53,6 +53,7 @@
   Ending ending = Ending::succeeded;
   Tenths after = 0, probe = 0;
   int resets = 0;  // one hand-off in so many breaks at once
+  int hangs = -1;  // those of this workload are never answered
 };
 
 class Player {
@@ -85,7 +86,8 @@
                            silent || how == "open" ? Ending::succeeded : kEndings.at(how),
                            l.span("after", 10),
                            l.span("probe", 1),
-                           static_cast<int>(l.number("resets", 0))};
+                           static_cast<int>(l.number("resets", 0)),
+                           static_cast<int>(l.number("hangs", -1))};
   }
 
   struct Out {
@@ -168,6 +170,8 @@
     a.hint = static_cast<double>(l.span("hint", 0));
     a.client_repeat = l.has("repeat");
     limits_[name] = a.valid_until;
+    workloads_[name] = static_cast<int>(a.workload);
+    if (l.number("leaves", 0) > 0) later_.push_back({now_ + l.span("leaves", 0), name, -1, {}});
     tell(a);
   }
 
@@ -208,6 +212,8 @@
         now_ = std::max(now_, end_now.at);
         if (end_now.invocation.empty())
           tell(ProbeEnded{static_cast<Index>(end_now.number), true, ways_[backends_[end_now.number]].probe});
+        else if (end_now.number < 0)
+          tell(ClientGone{index(invocations_, end_now.invocation)});
         else if (ended_.count({end_now.invocation, end_now.number}) == 0)
           end(end_now.invocation, end_now.number, end_now.ending, false);
       } else {
@@ -251,7 +257,7 @@
       if (fails) ++counts_["unconnected"];
       if (way != ways_.end() && way->second.resets > 0 && ++handed_off_ % way->second.resets == 0)
         later_.push_back({now_ + kMs, name, number, Ending::broken});
-      if (way != ways_.end() && !way->second.silent)
+      if (way != ways_.end() && !way->second.silent && way->second.hangs != workloads_[name])
         later_.push_back(
             {now_ + way->second.after, name, number, fails ? Ending::unreachable : way->second.ending});
       ++counts_[backend];
@@ -300,6 +306,7 @@
   std::vector<std::string> backends_, invocations_;
   std::map<std::string, std::vector<Out>> outs_;
   std::map<std::string, Tenths> limits_;
+  std::map<std::string, int> workloads_;
   std::map<std::pair<std::string, int>, Tenths> sent_;
   std::set<std::pair<std::string, int>> ended_;
   std::set<std::string> answered_;
