--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -87,8 +87,8 @@
   std::int64_t cell = -1;
   double weight = 1;
   Tenths started_at = 0;
-  int out = 0;        // this node's own hand-offs in flight
-  double limit = 0;   // how many of them may be in flight
+  int out = 0;       // this node's own hand-offs in flight
+  double limit = 0;  // how many of them may be in flight
   Health health;
   std::vector<Health> by_workload;  // the same, each by itself: one may hang where the others are well
   int probes_out = 0;
@@ -433,8 +433,8 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
-    if (total_out_ + uniform() >= node_limit_ || beyond_hope(v))
-      return false;  // below one in flight, chance gives the fraction
+    if (total_out_ + uniform() >= node_limit_) return false;  // below one, chance gives the fraction
+    if (beyond_hope(v)) return false;
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
@@ -486,7 +486,7 @@
   // Two fresh random ready ones; b stays kNone where only one is ready.
   bool draw_two(const Invocation& v, Index& a, Index& b) {
     // The own zone first, while two backends there have room to spare: links between zones cost time and
-    // money. One whose limit is shorter than a slow answer has no time for them while there is any place near.
+    // money. One whose limit is shorter than a slow answer has no time for them while any place is near.
     if (own_zone_.size() >= 2 && v.soundings == 0) {
       const double part = worth_until(v) - now_ < slow_after(v) ? 1 : kRoomNear;
       a = draw_ready(v, own_zone_, kNone, part);
@@ -660,7 +660,8 @@
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
   // is tried now and then.
   bool trusted(Health& h, Health& all, double least = 0) {
-    const double good = all.good.total(now_) + 1, fleet = std::max(least, good / (good + all.bad.total(now_)));
+    const double good = all.good.total(now_) + 1,
+                 fleet = std::max(least, good / (good + all.bad.total(now_)));
     return likely(h.good.total(now_), h.bad.total(now_), kTrust * fleet);
   }
   bool likely(double good, double bad, double least) {
@@ -796,9 +797,7 @@
     bool operator>(const Due& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
   };
   void at(Tenths when, Index i) { due_.push({when, order_++, i, i == kNone ? 0 : invocations_[i].life}); }
-  bool over(const Due& d) const {
-    return d.invocation != kNone && invocations_[d.invocation].life != d.life;
-  }
+  bool over(const Due& d) const { return d.invocation != kNone && invocations_[d.invocation].life != d.life; }
   void run_due() {
     while (!due_.empty() && due_.top().at <= now_) {
       const Due d = due_.top();
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -33,8 +33,8 @@
 }
 
 // Of those that nobody works for. Idle ones are kept for what usual clients need: half of the third of the
-// descriptors that they may hold. Of those that asked only once fewer are kept: closed as the oldest among all,
-// the usual clients' connections went first, and nearly every request came on a new one.
+// descriptors that they may hold. Of those that asked only once fewer are kept: closed as the oldest among
+// all, the usual clients' connections went first, and nearly every request came on a new one.
 Lobby::Most most_waiting(const Config& config) {
   const std::size_t all = most_clients(config);
   const auto some = [&](std::size_t n) { return std::max<std::size_t>(2, std::min(all, n)); };
--- a/src/net/threads.cpp
+++ b/src/net/threads.cpp
@@ -23,8 +23,8 @@
 };
 
 // The one that was idle last goes first: taken in turn, none is ever idle for long enough to end, so there
-// stay as many as were once needed at the same moment. Each then keeps a cache of memory of its own, and wakes
-// whenever the platform stops and continues the process.
+// stay as many as were once needed at the same moment. Each then keeps a cache of memory of its own, and
+// wakes whenever the platform stops and continues the process.
 bool Threads::run(std::function<void()> job) {
   std::shared_ptr<Seat> seat;
   {
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -11,9 +11,10 @@
 namespace troutstage::net {
 namespace {
 
-// What discovery is asked to wait at the most. A connection that has fallen silent looks like one with no news:
-// for as long as this is, and some patience, what has gone stays listed and what is new stays idle. Each call
-// is work for discovery, though: where it turns calls away they grow longer, and shorter again with each answer.
+// What discovery is asked to wait at the most. A connection that has fallen silent looks like one with no
+// news: for as long as this is, and some patience, what has gone stays listed and what is new stays idle.
+// Each call is work for discovery, though: where it turns calls away they grow longer, and shorter again with
+// each answer.
 constexpr std::chrono::milliseconds kWait{3000}, kLongestWait{24000};
 constexpr std::chrono::milliseconds kPatience{2000};  // for a connection, and for an answer after that wait
 constexpr std::chrono::milliseconds kTooSoon{100};    // for an answer with no news
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -212,8 +212,7 @@
         now_ = std::max(now_, end_now.at);
         if (end_now.invocation.empty())
           tell(ProbeEnded{static_cast<Index>(end_now.number), true, ways_[backends_[end_now.number]].probe});
-        else if (end_now.number < 0)
-          tell(ClientGone{index(invocations_, end_now.invocation)});
+        else if (end_now.number < 0) tell(ClientGone{index(invocations_, end_now.invocation)});
         else if (ended_.count({end_now.invocation, end_now.number}) == 0)
           end(end_now.invocation, end_now.number, end_now.ending, false);
       } else {
