--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <malloc.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -16,8 +17,18 @@
 using namespace troutstage;
 
 constexpr std::string_view kVersion = "0.2.0";
-// After the order to stop, connections go on coming for some tenths of a second.
-constexpr std::chrono::milliseconds kDrainGrace{550};
+// After the order to stop, connections go on coming for some tenths of a second. The platform kills the
+// program so long after the longest time limit, of which it counts three seconds at the most.
+constexpr std::chrono::milliseconds kAccepting{550}, kKilled{700}, kLongestLimit{3000};
+constexpr std::chrono::milliseconds kSpare{100};
+
+net::Stop stop_before_the_kill(const Settings& settings) {
+  std::chrono::milliseconds longest{0};
+  for (const Workload& w : settings.workloads)
+    longest = std::max(longest, std::chrono::milliseconds(w.time_limit / 10));
+  const auto end = std::min(longest, kLongestLimit) + kKilled - kSpare;
+  return {kAccepting, end * 3 / 4, end};
+}
 
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
@@ -67,7 +78,7 @@
     if (got == SIGHUP) node.reload(path);
     else log::info("{}", node.counters().text());
   }
-  node.drain(kDrainGrace);
+  node.drain(stop_before_the_kill(config.settings));
   log::info("{}", node.counters().text());
   return 0;
 }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <deque>
 
 #include "log/log.h"
@@ -37,6 +38,7 @@
 // Nobody may know the descriptor any more when it is closed: its number is soon another connection's.
 Client::~Client() {
   fd_.reset();
+  if (answered_ >= 2) --node_.came_back_;
   node_.closed(has_place_);
 }
 
@@ -69,7 +71,8 @@
   work->request = std::move(*request);
   if (answer(work, node_.clock_.now())) {
     in_.shrink();
-    return std::exchange(came_back_, true) ? Lobby::Wait::next : Lobby::Wait::once;
+    if (++answered_ == 2) ++node_.came_back_;
+    return answered_ >= 2 ? Lobby::Wait::next : Lobby::Wait::once;
   }
   // What is still unread would turn the closing into a reset, and that could overtake the answer.
   ::shutdown(fd_.get(), SHUT_WR);
@@ -103,7 +106,7 @@
 // Answers a request; false: the connection is over.
 bool Client::answer(const std::shared_ptr<Work>& work, Tenths arrived) {
   const Request& request = work->request;
-  const bool keep = request.keep_alive && lasts_ && !node_.draining_;
+  const bool keep = request.keep_alive && lasts_ && !node_.leaving_;
   if (request.target == kReadyPath) return reply(node_.draining_ ? 503 : 200, "up\n", keep);
   if (request.target == kCountersPath) return reply(200, node_.counters_.text(), keep);
   const auto workload = node_.config_.names.workloads.find(request.workload);
@@ -116,6 +119,8 @@
   if (request.remaining_ms < 0) return refuse({400, Bad::no_limit}), false;
   if (semantics == Semantics::labelled && !request.labelled) return refuse({400, Bad::no_label}), false;
   if (!has_place_) return refuse({503, Bad::no_room}), false;  // nothing was handed off
+  if (node_.short_of_connections())
+    return ++node_.counters_.turned_off_stopping, reply(503, "stopping\n", keep);
   // Handed off once more, it would be a second copy of what another client waits for.
   work->open.emplace(node_.transactions_, request.transaction);
   if (!work->open->is_new()) return refuse({409, Bad::id_open}), false;
@@ -128,7 +133,7 @@
   demand.workload = workload;
   const auto tenant = node_.config_.names.tenants.find(request.tenant);
   if (tenant != node_.config_.names.tenants.end()) demand.tenant = tenant->second;
-  demand.valid_until = arrived + request.remaining_ms * 10;
+  demand.valid_until = std::min(arrived + request.remaining_ms * 10, node_.answer_by_.load());
   demand.hint = request.hint_micros / 100;
   demand.client_repeat = request.client_repeat;
   const bool wants_more = request.keep_alive && lasts_;
@@ -144,7 +149,7 @@
       const core::Step step = node_.balancer_.pick(ticket);
       if (step.what == core::Next::hand_off) hand_off(work, step);
       else if (step.what == core::Next::recall) recall(*work, step.number);
-      else return end(*work, step, wants_more && !node_.draining_);
+      else return end(*work, step, wants_more && !node_.leaving_);
     }
   } catch (const std::exception& broke) {  // ends this invocation, with an answer that promises nothing
     log::error("invocation: {}", broke.what());
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -36,11 +36,11 @@
   Fd fd_;
   Reader in_;
   const Moment connected_ = Moment::clock::now();
-  bool first_ = true;       // no request has been read yet
-  bool came_back_ = false;  // asked a second time
-  bool rejected_ = false;   // its last request was
-  bool lasts_ = true;       // false: this request is the last one
-  const bool has_place_;    // else its one request is turned away
+  bool first_ = true;         // no request has been read yet
+  std::size_t answered_ = 0;  // requests
+  bool rejected_ = false;     // its last request was
+  bool lasts_ = true;         // false: this request is the last one
+  const bool has_place_;      // else its one request is turned away
   std::size_t thrown_away_ = 0;
 };
 
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -37,6 +37,7 @@
   for (std::size_t i = 0; i < bad.size(); ++i)
     if (bad[i] > 0) line(fmt::format("bad_{}", kBadNames[i]), bad[i]);
   line("turned_off_full", turned_off_full);
+  line("turned_off_stopping", turned_off_stopping);
   line("answers_unread", answers_unread);
   line("watches", watches);
   line("watches_failed", watches_failed);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -19,7 +19,8 @@
   // Every hand-off ends in one of the ways of Ended, or is still out.
   Count handed_off{0};
   std::array<Count, kEndedNames.size()> ended{};
-  Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0}, answers_unread{0};
+  Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0},
+      turned_off_stopping{0}, answers_unread{0};
   std::array<Count, kBadNames.size()> bad{};  // requests, by what is wrong with them
   Count watches{0}, watches_failed{0};
   Count reloads{0}, reloads_failed{0};
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -113,11 +113,16 @@
   return false;
 }
 
-void Lobby::close_idle() {
+std::size_t Lobby::waiting(Wait wait) {
+  std::lock_guard held(lock_);
+  return waiting_[static_cast<std::size_t>(wait)];
+}
+
+void Lobby::close_idle(bool all) {
   std::lock_guard held(lock_);
   for (auto at = all_.begin(); at != all_.end();) {
     const auto next = std::next(at);
-    if (at->second.wait != Wait::end) leave(at);
+    if (all || at->second.wait != Wait::end) leave(at);
     at = next;
   }
 }
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -31,8 +31,9 @@
   void run();  // until stop()
   void stop();
   void enter(std::shared_ptr<Client> client, Wait wait);
-  bool make_room();   // closes the one that is the least loss; false: there is none
-  void close_idle();  // all but those that are being told their last answer
+  bool make_room();  // closes the one that is the least loss; false: there is none
+  std::size_t waiting(Wait wait);
+  void close_idle(bool all);  // else not those that are being told their last answer
 
  private:
   struct Waiting {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
 constexpr std::chrono::milliseconds kSettle{20};  // what a backend sends beyond its answer comes sooner
+constexpr std::size_t kOneIdleIn = 10;            // connections of a node that stops
 constexpr std::size_t kOwnDescriptors = 10;       // listener, watch, log, vigil and a few to spare
 
 // So many are kept for clients whose request can only be turned away, so that none is left waiting unread.
@@ -75,7 +76,7 @@
   balancer_.told(ListForm::cached, std::move(known.entries));
 }
 
-Node::~Node() { drain(std::chrono::milliseconds(0)); }
+Node::~Node() { drain({}); }
 
 void Node::start() {
   accept_over_ = false;
@@ -97,7 +98,7 @@
       if (over_budget_ >= reserve_) continue;
     }
     // Once this node accepts no more, those that the system has taken for it already are still served.
-    const bool last = !accepting_;
+    const bool last = leaving_;
     if (!last && wait_readable(listener_.get(), Moment::clock::now() + kLook) != Io::done) continue;
     const int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
     if (fd < 0) {
@@ -177,6 +178,12 @@
   return ended_;
 }
 
+// Nobody can open another connection to a node that stops. Once a client found all of them busy, none was
+// used any more, and all requests were without a node; so a few are kept idle.
+bool Node::short_of_connections() {
+  return draining_ && lobby_.waiting(Lobby::Wait::next) < came_back_ / kOneIdleIn;
+}
+
 void Node::housekeep() {
   std::unique_lock held(lock_);
   while (!stopped_) {
@@ -218,15 +225,21 @@
   }
 }
 
-void Node::drain(std::chrono::milliseconds grace) {
+void Node::drain(const Stop& stop) {
   if (draining_.exchange(true)) return;
   log::info("draining");
+  const Moment told = Moment::clock::now();
+  const bool has_end = stop.answering.count() >= 0;
+  if (has_end) answer_by_ = clock_.now() + stop.answering.count() * 10;
   std::unique_lock held(lock_);
-  changed_.wait_for(held, grace, [] { return false; });
-  accepting_ = false;
+  changed_.wait_until(held, told + stop.accepting, [] { return false; });
+  // Clients use the connections that they have for as long as these stay open, and may know no other node:
+  // closed at once, two nodes that were stopped one after the other left all requests without one.
+  changed_.wait_until(held, told + stop.keeping, [this] { return open_ == 0; });
+  leaving_ = true;
   while (open_ > 0 || !accept_over_) {
     held.unlock();
-    lobby_.close_idle();
+    lobby_.close_idle(has_end && Moment::clock::now() > told + stop.answering);
     end_slow_ones();
     held.lock();
     changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_ == 0 && accept_over_; });
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -31,13 +31,19 @@
   Tenths wall_offset_;
 };
 
+// How a node stops, in times from the order to.
+struct Stop {
+  std::chrono::milliseconds accepting{0};   // connections still come for so long
+  std::chrono::milliseconds keeping{0};     // clients' connections stay in use, unless all have gone before
+  std::chrono::milliseconds answering{-1};  // what comes after the order is answered by then; -1: in its time
+};
+
 class Node {
  public:
   explicit Node(Config config);  // listens from here on; throws where it can't
   ~Node();
   void start();
-  // Ends gracefully: connections that still come are served for `grace`, all held is answered.
-  void drain(std::chrono::milliseconds grace);
+  void drain(const Stop& stop);  // ends gracefully: all held is answered
   // Reads a configuration anew: a file that now names another discovery wins over where that was known from.
   // Whatever is wrong with the file, the node goes on as it is.
   void reload(const std::string& path);
@@ -66,8 +72,9 @@
   void accept_all();
   void take(Fd fd);
   void work_for(std::shared_ptr<Client> client);
-  bool find_place();     // false: there is none
-  bool end_slow_ones();  // false: there is none
+  bool find_place();            // false: there is none
+  bool end_slow_ones();         // false: there is none
+  bool short_of_connections();  // while it stops
   void housekeep();
   void opened(bool has_place);  // a client's connection, and its end
   void closed(bool had_place);
@@ -91,7 +98,9 @@
   std::set<Reading*> reading_;
   std::size_t open_ = 0, over_budget_ = 0;  // clients' connections, and those of them that have no place
   bool stopped_ = false, accept_over_ = true;
-  std::atomic<bool> draining_{false}, accepting_{true};
+  std::atomic<bool> draining_{false}, leaving_{false};  // told to stop; closes what has been answered
+  std::atomic<Tenths> answer_by_{INT64_MAX};
+  std::atomic<std::size_t> came_back_{0};  // clients' connections that were used more than once
   const std::size_t reserve_;
   Lobby lobby_;
   Threads workers_, clients_, inner_;  // the last members: their threads use the others
