--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -15,6 +15,7 @@
   };
   std::vector<HandedOff> handed_off;  // by number
   std::condition_variable changed;
+  Balancer::Urgent urgent;  // who picks is busy: takes what can't wait
 };
 
 Balancer::Balancer(const Settings& settings, const Clock& clock)
@@ -38,6 +39,7 @@
 
 Step Balancer::pick(const Ticket& ticket) {
   std::unique_lock held(lock_);
+  ticket->urgent = nullptr;
   ticket->changed.wait(held, [&] { return !ticket->steps.empty(); });
   const Step step = ticket->steps.front();
   ticket->steps.pop_front();
@@ -45,6 +47,14 @@
   return step;
 }
 
+void Balancer::busy(const Ticket& ticket, Urgent urgent) {
+  std::unique_lock held(lock_);
+  ticket->urgent = std::move(urgent);
+  // What came since the last pick() would wait for the next one.
+  std::erase_if(ticket->steps, [&](const Step& step) { return attended(*ticket, step); });
+  take_back();
+}
+
 void Balancer::report(const Ticket& ticket, int number, Ending ending) {
   std::unique_lock held(lock_);
   const bool wins = ending == Ending::succeeded && !ticket->final;
@@ -129,6 +139,10 @@
 
 void Balancer::tell(std::unique_lock<std::mutex>&, const Event& event) {
   for (const Action& action : decider_.decide(clock_.now(), event)) carry_out(action);
+  take_back();
+}
+
+void Balancer::take_back() {
   while (!unsent_.empty()) {
     const HandOffEnded ended = unsent_.front();
     unsent_.pop_front();
@@ -185,7 +199,17 @@
   });
 }
 
+bool Balancer::attended(Invocation& v, const Step& step) {
+  const bool hand_off = step.what == Next::hand_off;
+  if (!v.urgent || (!hand_off && step.what != Next::recall)) return false;
+  if (hand_off) v.handed_off.at(static_cast<std::size_t>(step.number)).picked = true;
+  if (!v.urgent(step) && hand_off)
+    unsent_.push_back({v.index, step.number, Ending::never_sent, v.final, 0, -1});
+  return true;
+}
+
 void Balancer::add_step(Invocation& v, const Step& step) {
+  if (attended(v, step)) return;
   v.steps.push_back(step);
   v.changed.notify_one();
 }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -47,6 +48,10 @@
 
   Ticket take(const Demand& demand);
   Step pick(const Ticket& ticket);  // blocks until there is a next step
+  // Who picks is busy with a hand-off itself: until it picks again, each further hand-off and recall goes to
+  // `urgent`, which must neither block nor call this. False from it: that hand-off can't be sent.
+  using Urgent = std::function<bool(const Step&)>;
+  void busy(const Ticket& ticket, Urgent urgent);
   // How a hand-off ended: once for each that pick() gave out, also when it was recalled meanwhile.
   void report(const Ticket& ticket, int number, Ending ending);
   void client_gone(const Ticket& ticket);
@@ -64,9 +69,11 @@
 
  private:
   void tell(std::unique_lock<std::mutex>& held, const Event& event);
+  void take_back();
   void carry_out(const Action& action);
   void seal(Invocation& v);
   void add_step(Invocation& v, const Step& step);
+  bool attended(Invocation& v, const Step& step);
 
   const Clock& clock_;
   std::mutex lock_;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -28,7 +28,8 @@
   Request request;
   std::optional<Transactions::Open> open;
   core::Ticket ticket;
-  std::deque<std::shared_ptr<Exchange>> exchanges;  // by number; only the client's thread changes it
+  // By number. The client's thread changes it, and while that is busy whoever has the balancer's lock.
+  std::deque<std::shared_ptr<Exchange>> exchanges;
 };
 
 Client::Client(Node& node, Fd fd, bool has_place)
@@ -179,34 +180,56 @@
   return reply(503, "rejected\n", keep, step.retry_in > 0 ? retry : "");
 }
 
-// Each hand-off blocks in a thread of its own, so that the client's own thread is free for what is next.
+// A hand-off is run by the client's own thread: to wake another for each one, and to be woken by that, took
+// so much of the processor time that a node with all the load of two was at its share. What comes up
+// meanwhile is done by whoever brings it up, a second copy in a thread of its own.
 void Client::hand_off(const std::shared_ptr<Work>& work, const core::Step& step) {
-  Node& node = node_;
+  const std::function<void()> run = prepare(node_, work, step);
+  if (!node_.config_.settings.may_recall) {  // nothing would end it before its time
+    if (!run || !node_.workers_.run(run)) over(node_, *work, step.number, Ended::no_room);
+    return;
+  }
+  node_.balancer_.busy(work->ticket, [&node = node_, mine = std::weak_ptr(work)](const core::Step& more) {
+    const auto work_there = mine.lock();
+    if (!work_there) return false;
+    if (more.what == core::Next::recall) return recall(*work_there, more.number), true;
+    const std::function<void()> copy = prepare(node, work_there, more);
+    if (copy && node.workers_.run(copy)) return true;
+    node.counters_.count(Ended::no_room);
+    return false;
+  });
+  if (run) run();
+  else over(node_, *work, step.number, Ended::no_room);
+}
+
+void Client::over(Node& node, const Work& work, int number, Ended ended) {
+  node.counters_.count(ended);
+  node.balancer_.report(work.ticket, number, outcome(ended));
+}
+
+// What a hand-off does; nothing where it can't be.
+std::function<void()> Client::prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step) {
   ++node.counters_.handed_off;
-  const std::chrono::microseconds connect_limit(node.config_.settings.connect_timeout * 100);
-  const auto over = [&node, work, number = step.number](Ended ended) {
-    node.counters_.count(ended);
-    node.balancer_.report(work->ticket, number, outcome(ended));
-  };
-  bool started = false;
   try {
+    const std::chrono::microseconds connect_limit(node.config_.settings.connect_timeout * 100);
     const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, connect_limit);
     work->exchanges.resize(static_cast<std::size_t>(step.number) + 1);
     work->exchanges.back() = exchange;
     const auto target = node.directory_.find(step.backend);
-    started = target && node.workers_.run([=, until = node.clock_.at(step.until)] {
+    if (!target) return {};
+    return [=, &node, number = step.number, until = node.clock_.at(step.until)] {
       Ended ended = Ended::cut_after_sent;  // where it broke is not known then, so it may have run
       try {
         ended = exchange->run(work->request, *target, until);
       } catch (const std::exception& broke) {
         log::error("exchange: {}", broke.what());
       }
-      over(ended);
-    });
+      over(node, *work, number, ended);
+    };
   } catch (const std::exception& broke) {
     log::error("hand-off: {}", broke.what());
+    return {};
   }
-  if (!started) over(Ended::no_room);
 }
 
 bool Client::write(std::string head, std::string_view body) {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -27,7 +27,9 @@
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived, Index workload);
   bool end(const Work& work, const core::Step& step, bool keep);
-  void recall(const Work& work, int number);
+  static void recall(const Work& work, int number);
+  static void over(Node& node, const Work& work, int number, Ended ended);
+  static std::function<void()> prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step);
   void hand_off(const std::shared_ptr<Work>& work, const core::Step& step);
   bool write(std::string head, std::string_view body);
   bool reply(int status, std::string_view text, bool keep_alive, std::string_view headers = "");
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -74,6 +74,35 @@
   CHECK(f.balancer.pick(next).what == Next::hand_off);
 }
 
+TEST_CASE("while the one that picks is busy, a copy and a recall reach it at once", "[core]") {
+  const bool sent = GENERATE(true, false);
+  Facade f;
+  const Ticket v = f.take();
+  const Step first = f.balancer.pick(v);
+  std::vector<Step> urgent;
+  f.balancer.busy(v, [&](const Step& step) { return urgent.push_back(step), sent; });
+  f.pass(250);
+  REQUIRE(!urgent.empty());
+  CHECK(urgent[0].what == Next::hand_off);
+  f.balancer.client_gone(v);
+  CHECK(urgent.size() == (sent ? 3 : 2));  // a copy that can't be sent is not recalled: it was never out
+  CHECK(urgent.back().what == Next::recall);
+  f.balancer.report(v, first.number, Ending::recalled);
+  CHECK(f.balancer.pick(v).what == Next::gone);
+}
+
+TEST_CASE("a recall that came before the one that picks was busy reaches it all the same", "[core]") {
+  Facade f;
+  const Ticket v = f.take();
+  const Step first = f.balancer.pick(v);
+  f.balancer.client_gone(v);
+  int recalls = 0;
+  f.balancer.busy(v, [&](const Step& step) { return recalls += step.what == Next::recall, true; });
+  CHECK(recalls == 1);
+  f.balancer.report(v, first.number, Ending::recalled);
+  CHECK(f.balancer.pick(v).what == Next::gone);
+}
+
 TEST_CASE("what is proven not to have run goes to another backend; what may have run does not", "[core]") {
   const auto [ending, next] = GENERATE(table<Ending, Next>({{Ending::unreachable, Next::hand_off},
                                                             {Ending::turned_away, Next::hand_off},
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -241,6 +241,26 @@
   check_sums(fleet.node.counters());
 }
 
+TEST_CASE("a second copy answers where the first hand-off hangs, and ends that", "[net]") {
+  Flag ended;
+  std::atomic<int> calls{0};
+  const Server::Handler handler = [&](const Server::Call& call) {
+    if (calls++ > 0) return ok("copy");
+    if (call.server.ended(call)) ended.set();
+    return std::string();
+  };
+  Server one(handler), two(handler);
+  Fleet fleet({one.address(), two.address()});
+  Visitor visitor(fleet.node);
+  CHECK(visitor.ask(request("view")).body == "copy");
+  ended.await();
+  CHECK(calls == 2);
+  visitor.leave();
+  fleet.node.drain({});
+  CHECK(fleet.node.counters().ended[static_cast<std::size_t>(Ended::recalled)] == 1);
+  check_sums(fleet.node.counters());
+}
+
 TEST_CASE("bad requests are answered here, counted and never handed off", "[net]") {
   Server backend(always(ok("")));
   Fleet fleet({backend.address()});
