--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,16 +59,16 @@
 constexpr double kFirstTogether = 10, kLeastTogether = 2, kMostLimit = 1000;  // a backend, all nodes together
 constexpr double kLateShare = 0.1;  // the limit settles where so many answers take longer than they should
 constexpr double kTrust = 0.8;  // a doubtful backend must be drawn to reach this part of the fleet's success
-constexpr double kChance = 0.001;  // what is less likely than this is no chance
-constexpr double kRoomNear =
-    0.35;                        // own-zone backends fuller than this part of their limit are like any other
-constexpr double kSlowAt = 0.5;  // ... than this part of the due time
+constexpr double kChance = 0.001;         // what is less likely than this is no chance
+constexpr double kRoomNear = 0.35;        // own-zone backends fuller than this are like any other
+constexpr double kSlowAt = 0.5;           // ... than this part of the due time
 constexpr double kJamShare = 0.18;        // and the limit of the node settles at this share
 constexpr double kStep = 0.3;             // how far one late answer moves it
 constexpr int kSoundings = 2;             // pairs probed for an invocation
 constexpr double kTelling = 4;            // none where a quarter is usually in flight at a backend
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
+constexpr double kLong = 3;               // a copy goes out after so many times what is usual
 constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
 // How hand-offs ended lately.
@@ -457,24 +457,29 @@
     ++b.held;
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
-    if (second_copies_ && v.out == 1 && b.health.good.total(now_) < 1) {
-      v.copy_at = now_ + slow_after(v) * 2 / 3;  // in time for the copy, too
-      at(v.copy_at, i);
-    }
+    if (!second_copies_ || v.out != 1) return;
+    const double long_for_it = kLong * usual_[v.workload] * size_of(v);
+    at(v.copy_at = now_ + (doubtful(b) ? slow_after(v) * 2 / 3 : static_cast<Tenths>(long_for_it)), i);
   }
 
   // A second copy goes out where the first is slow at a backend of which this node knows no recent success:
-  // with many nodes each meets a slow or hung backend before it can have learned of it.
+  // with many nodes each meets a slow or hung backend before it can have learned of it. At any other it goes
+  // out after many times what is usual, while places are free: a few may hang where the others are well.
   void copy(Index i) {
     Invocation& v = invocations_[i];
     v.copy_at = 0;
     if (v.out != 1 || v.hand_offs.back().ran != Ran::in_flight) return;
     Backend& b = backends_[v.hand_offs.back().backend];
-    ++b.health.bad_run;
-    b.health.bad.add(now_, 1), all_.bad.add(now_, 1);
-    leave(v.hand_offs.back().backend);
-    hand_off(i);
+    if (doubtful(b)) {
+      ++b.health.bad_run;
+      b.health.bad.add(now_, 1), all_.bad.add(now_, 1);
+      leave(v.hand_offs.back().backend);
+    } else {  // else the copy's answer would hide how slow this one is
+      learn(b.by_workload[v.workload], by_workload_[v.workload], false, true);
+    }
+    if (doubtful(b) || !full()) hand_off(i);
   }
+  bool doubtful(Backend& b) { return b.health.good.total(now_) < 1; }
 
   // Random with Two Choices: fewer of this node's own in flight, a coin toss on ties.
   Index better_of(Index a, Index b) {
@@ -700,8 +705,10 @@
   // After this an answer is slow. A large one takes long by itself: where its size is told, that is no sign
   // of a queue.
   Tenths slow_after(const Invocation& v) const {
-    const double size = v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
-    return static_cast<Tenths>(kSlowAt * static_cast<double>(workloads_[v.workload].due_time) * size);
+    return static_cast<Tenths>(kSlowAt * static_cast<double>(workloads_[v.workload].due_time) * size_of(v));
+  }
+  double size_of(const Invocation& v) const {
+    return v.hinted ? 0.5 + 0.5 * v.work / usual_work_[v.workload] : 1;
   }
 
   // What an invocation of this workload is worth for each unit of the backends' time.
@@ -841,8 +848,7 @@
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
   std::vector<Index> running_, own_zone_, members_, waiting_, sounding_;
-  double usual_probe_ = 0;
-  double top_weight_ = 0;
+  double usual_probe_ = 0, top_weight_ = 0;
   std::int64_t measured_at_ = -1;
   struct Warm {
     double done = 0, weight = 0;
