Operators' door, figures by workload, and a drain from which the node comes back

Need: nothing listened on mgmt, a drain order was not heard, and clients were still sent to the node 4 s later, which breaks the rule on lost requests.

Change: src/ops (door, figures), core::Stage, Node::drain/activate/figures, the module's Census event; answers counted by workload's name.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,6 +50,7 @@
     c.name = json.value("name", "");
     c.listen = json.value("listen", "");
     c.discovery = c.discovery_in_file = json.value("discovery", "");
+    c.mgmt = json.value("mgmt", "");
     if (json.contains("known")) c.known = json.at("known").dump();
     if (json.contains("limits")) {
       c.descriptors = json.at("limits").value("sockets", c.descriptors);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,9 +10,11 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string mgmt;               // where operators call; empty: nowhere
   std::string discovery_in_file;  // what the file itself says of it
   std::string known;  // the list as it was last had, in discovery's form
   std::size_t descriptors = 1024, memory_mb = 192;
+  std::size_t own_descriptors = 0;  // what else in this process keeps open
   Settings settings;
   Names names;
 };
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -86,6 +86,12 @@
   return ticket->final;
 }
 
+Balancer::Census Balancer::census() {
+  std::unique_lock held(lock_);
+  tell(held, troutstage::Census{});
+  return census_;
+}
+
 void Balancer::tick() {
   std::unique_lock held(lock_);
   if (due_ > clock_.now()) return;
@@ -182,6 +188,9 @@
       return;
     case Do::probe: return;  // the protocol on sockets has none, and the settings here allow none
     case Do::release: released_.push_back(a.backend); return;
+    case Do::census:
+      census_ = {static_cast<std::size_t>(a.at), static_cast<std::size_t>(a.number)};
+      return;
     case Do::forget:
       held_[a.invocation].reset();
       free_.push_back(a.invocation);
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -57,6 +57,11 @@
   void client_gone(const Ticket& ticket);
   bool answered(const Ticket& ticket);  // its last step stands, and nothing goes out any more
 
+  struct Census {
+    std::size_t listed = 0, avoided = 0;  // backends, and those of them that the decisions avoid now
+  };
+  Census census();
+
   void tick();       // does what has come due
   void run_ticks();  // ticks whenever something comes due, until stop()
 
@@ -84,6 +89,7 @@
   std::deque<HandOffEnded> unsent_;  // taken back before anybody had picked them up
   Tenths due_ = INT64_MAX;
   bool watch_wanted_ = false, stopped_ = false;
+  Census census_;
 };
 
 }  // namespace troutstage::core
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -292,6 +292,15 @@
     }
   }
 
+  // Draws no chance: being asked changes no decision.
+  void on(const Census&) {
+    Tenths listed = 0;
+    int avoided = 0;
+    for (Backend& b : backends_)
+      if (b.listed) ++listed, avoided += b.told_to_stop || distrusted(b.health);
+    actions_.push_back({Do::census, kNone, kNone, avoided, listed});
+  }
+
   // ---- the rules
 
   // Rule 1: the one place where an invocation gets its final answer from this node. A rejection is given only
@@ -669,6 +678,11 @@
                  fleet = std::max(least, good / (good + all.bad.total(now_)));
     return likely(h.good.total(now_), h.bad.total(now_), kTrust * fleet);
   }
+  // Whether the middle of that posterior is too low, so that most draws turn out against it.
+  bool distrusted(Health& h) {
+    const double good = h.good.total(now_), bad = h.bad.total(now_), all_good = all_.good.total(now_) + 1;
+    return bad > 0.5 && (good + 1) / (good + bad + 2) < kTrust * all_good / (all_good + all_.bad.total(now_));
+  }
   bool likely(double good, double bad, double least) {
     if (bad < 0.5) return true;
     const double x = std::gamma_distribution<double>(good + 1)(chance_);
--- a/src/decide.h
+++ b/src/decide.h
@@ -114,7 +114,10 @@
   Tenths took = 0;
 };
 
-using Event = std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded>;
+struct Census {};  // asks how many backends are listed, and how many of them are avoided now
+
+using Event =
+    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded, Census>;
 
 enum class Do {
   hand_off,   // invocation, backend, at: when to drop it
@@ -126,6 +129,7 @@
   probe,      // backend
   forget,     // invocation: the index may be used again
   release,    // backend: the same, until the list names it again
+  census,     // at: how many are listed, number: how many of them are avoided
 };
 
 struct Action {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,10 +6,13 @@
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "config/config.h"
 #include "log/log.h"
 #include "net/node.h"
+#include "ops/door.h"
+#include "ops/figures.h"
 
 namespace {
 
@@ -50,19 +53,34 @@
       throw Malformed("configuration '" + path + "': " + wrong.what());
     }
   }();
-  const auto over = [&](std::string& value, const char* variable, const char* option) {
+  const auto over = [&](std::string& value, const char* variable, const char* option, bool may_lack = false) {
     if (const std::string told = environment(variable); !told.empty()) value = told;
     if (given.count(option)) value = given[option].as<std::string>();
-    if (value.empty()) throw Malformed(std::string(option) + " is not set");
+    if (value.empty() && !may_lack) throw Malformed(std::string(option) + " is not set");
   };
   over(config.name, "RELAY_NAME", "name");
   over(config.listen, "RELAY_LISTEN", "listen");
   over(config.discovery, "RELAY_DISCOVERY", "discovery");
+  over(config.mgmt, "RELAY_MGMT", "mgmt", true);
   net::parse_address(config.listen);
   net::parse_address(config.discovery);
+  if (!config.mgmt.empty()) net::parse_address(config.mgmt), config.own_descriptors += ops::Door::kDescriptors;
   return config;
 }
 
+// What operators ask and order, as the node understands it.
+class Desk : public ops::Operated {
+ public:
+  explicit Desk(net::Node& node) : node_(node) {}
+  bool ready() override { return node_.ready(); }
+  bool drain() override { return node_.drain(); }
+  bool activate() override { return node_.activate(); }
+  std::string figures() override { return ops::figures_text(node_.figures()); }
+
+ private:
+  net::Node& node_;
+};
+
 int serve(const Config& config, const std::string& path) {
   // Few arenas: with one for each thread, memory would grow with the threads.
   ::mallopt(M_ARENA_MAX, 2);
@@ -73,12 +91,15 @@
   ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
   net::Node node(config);
+  Desk desk(node);
+  std::optional<ops::Door> door;  // gone before the node: until then it answers
+  if (!config.mgmt.empty()) door.emplace(net::parse_address(config.mgmt), desk);
   node.start();
   for (int got = 0; ::sigwait(&signals, &got) == 0 && (got == SIGUSR1 || got == SIGHUP);) {
     if (got == SIGHUP) node.reload(path);
     else log::info("{}", node.counters().text());
   }
-  node.drain(stop_before_the_kill(config.settings));
+  node.stop(stop_before_the_kill(config.settings));
   log::info("{}", node.counters().text());
   return 0;
 }
@@ -93,6 +114,8 @@
       "ADDRESS:PORT for clients (else RELAY_LISTEN, else the file's)");
   add("discovery", options::value<std::string>(),
       "ADDRESS:PORT of discovery (else RELAY_DISCOVERY, else the file's)");
+  add("mgmt", options::value<std::string>(),
+      "ADDRESS:PORT for operators' calls (else RELAY_MGMT, else the file's, else none)");
   add("verbose", "log what happens to single requests too");
   if (command == "help") {
     std::cout << "troutstage serve|check|version|help [options]\n"
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -20,11 +20,25 @@
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr std::string_view kText = "text/plain";
 
+// Counts an invocation as open for as long as it lives.
+class OpenOne {
+ public:
+  explicit OpenOne(Counters::Count& open) : open_(open) { ++open_; }
+  ~OpenOne() { --open_; }
+  OpenOne(const OpenOne&) = delete;
+  OpenOne& operator=(const OpenOne&) = delete;
+
+ private:
+  Counters::Count& open_;
+};
+
 }  // namespace
 
 struct Client::Work {
-  explicit Work(Node& node) : bytes(node.bytes_) {}
+  explicit Work(Node& node) : bytes(node.bytes_), terms(node.terms()) {}
   Bytes::Hold bytes;
+  const std::shared_ptr<const Terms> terms;  // those that it came under, to its end
+  Offer offer;
   Request request;
   std::optional<Transactions::Open> open;
   core::Ticket ticket;
@@ -107,38 +121,46 @@
 // Answers a request; false: the connection is over.
 bool Client::answer(const std::shared_ptr<Work>& work, Tenths arrived) {
   const Request& request = work->request;
-  const bool keep = request.keep_alive && lasts_ && !node_.leaving_;
-  if (request.target == kReadyPath) return reply(node_.draining_ ? 503 : 200, "up\n", keep);
+  const bool keep = request.keep_alive && lasts_ && !node_.lets_go();
+  if (request.target == kReadyPath)
+    return node_.ready() ? reply(200, "up\n", keep) : reply(503, "not up\n", keep);
   if (request.target == kCountersPath) return reply(200, node_.counters_.text(), keep);
-  const auto workload = node_.config_.names.workloads.find(request.workload);
-  if (workload == node_.config_.names.workloads.end()) return refuse({404, Bad::no_workload}), false;
+  const auto workload = work->terms->workloads.find(request.workload);
+  if (workload == work->terms->workloads.end()) return refuse({404, Bad::no_workload}), false;
+  work->offer = workload->second;
   // Only what a usual client sends is handed off: the method follows from what a repeat would do.
-  const Semantics semantics = node_.config_.settings.workloads[workload->second].semantics;
+  const Semantics semantics = work->offer.semantics;
   const bool reads = semantics == Semantics::redoable;
   if (request.method != (reads ? "GET" : "POST")) return refuse({405, Bad::wrong_method}), false;
   if (reads && !request.body.empty()) return refuse({400, Bad::body_of_get}), false;
   if (request.remaining_ms < 0) return refuse({400, Bad::no_limit}), false;
   if (semantics == Semantics::labelled && !request.labelled) return refuse({400, Bad::no_label}), false;
-  if (!has_place_) return refuse({503, Bad::no_room}), false;  // nothing was handed off
-  if (node_.short_of_connections())
+  if (!has_place_) {  // nothing was handed off
+    ++work->offer.answers->rejected;
+    return refuse({503, Bad::no_room}), false;
+  }
+  if (node_.short_of_connections()) {
+    ++work->offer.answers->rejected;
     return ++node_.counters_.turned_off_stopping, reply(503, "stopping\n", keep);
+  }
   // Handed off once more, it would be a second copy of what another client waits for.
   work->open.emplace(node_.transactions_, request.transaction);
   if (!work->open->is_new()) return refuse({409, Bad::id_open}), false;
-  return invoke(work, arrived, workload->second);
+  return invoke(work, arrived);
 }
 
-bool Client::invoke(const std::shared_ptr<Work>& work, Tenths arrived, Index workload) {
+bool Client::invoke(const std::shared_ptr<Work>& work, Tenths arrived) {
   const Request& request = work->request;
   core::Demand demand;
-  demand.workload = workload;
-  const auto tenant = node_.config_.names.tenants.find(request.tenant);
-  if (tenant != node_.config_.names.tenants.end()) demand.tenant = tenant->second;
+  demand.workload = work->offer.workload;
+  const auto tenant = work->terms->tenants.find(request.tenant);
+  if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
   demand.valid_until = std::min(arrived + request.remaining_ms * 10, node_.answer_by_.load());
   demand.hint = request.hint_micros / 100;
   demand.client_repeat = request.client_repeat;
   const bool wants_more = request.keep_alive && lasts_;
   ++node_.counters_.taken;
+  const OpenOne open(node_.counters_.open);
   const core::Ticket& ticket = work->ticket;
   try {
     work->ticket = node_.balancer_.take(demand);
@@ -150,11 +172,12 @@
       const core::Step step = node_.balancer_.pick(ticket);
       if (step.what == core::Next::hand_off) hand_off(work, step);
       else if (step.what == core::Next::recall) recall(*work, step.number);
-      else return end(*work, step, wants_more && !node_.leaving_);
+      else return end(*work, step, wants_more && !node_.lets_go());
     }
   } catch (const std::exception& broke) {  // ends this invocation, with an answer that promises nothing
     log::error("invocation: {}", broke.what());
     ++node_.counters_.broke_inside;
+    ++work->offer.answers->given_up;
     if (ticket) node_.balancer_.client_gone(ticket);
     return reply(500, "broke inside\n", false);
   }
@@ -170,11 +193,17 @@
   if (step.what == core::Next::gone) return ++node_.counters_.client_gone, false;
   if (step.what == core::Next::succeeded) {
     ++node_.counters_.succeeded;
+    ++work.offer.answers->succeeded;
     const Response& r = work.exchanges.at(static_cast<std::size_t>(step.number))->answer();
     return write(response_head(200, r.content_type, r.body.size(), keep), r.body) && keep;
   }
-  if (step.what == core::Next::give_up) return ++node_.counters_.given_up, reply(502, "given up\n", keep);
+  if (step.what == core::Next::give_up) {
+    ++node_.counters_.given_up;
+    ++work.offer.answers->given_up;
+    return reply(502, "given up\n", keep);
+  }
   ++node_.counters_.rejected;
+  ++work.offer.answers->rejected;
   rejected_ = true;
   const auto retry = fmt::format("Retry-After: {:.4f}\r\n", static_cast<double>(step.retry_in) / 1e4);
   return reply(503, "rejected\n", keep, step.retry_in > 0 ? retry : "");
@@ -185,7 +214,7 @@
 // meanwhile is done by whoever brings it up, a second copy in a thread of its own.
 void Client::hand_off(const std::shared_ptr<Work>& work, const core::Step& step) {
   const std::function<void()> run = prepare(node_, work, step);
-  if (!node_.config_.settings.may_recall) {  // nothing would end it before its time
+  if (!work->terms->may_recall) {  // nothing would end it before its time
     if (!run || !node_.workers_.run(run)) over(node_, *work, step.number, Ended::no_room);
     return;
   }
@@ -211,8 +240,7 @@
 std::function<void()> Client::prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step) {
   ++node.counters_.handed_off;
   try {
-    const std::chrono::microseconds connect_limit(node.config_.settings.connect_timeout * 100);
-    const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, connect_limit);
+    const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, work->terms->connect_limit);
     work->exchanges.resize(static_cast<std::size_t>(step.number) + 1);
     work->exchanges.back() = exchange;
     const auto target = node.directory_.find(step.backend);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -25,7 +25,7 @@
   std::optional<Lobby::Wait> serve_one();
   std::optional<Lobby::Wait> refuse(const BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
-  bool invoke(const std::shared_ptr<Work>& work, Tenths arrived, Index workload);
+  bool invoke(const std::shared_ptr<Work>& work, Tenths arrived);
   bool end(const Work& work, const core::Step& step, bool keep);
   static void recall(const Work& work, int number);
   static void over(Node& node, const Work& work, int number, Ended ended);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -4,6 +4,17 @@
 
 namespace troutstage::net {
 
+std::shared_ptr<Answers> AnswersByName::of(const std::string& workload) {
+  std::lock_guard held(lock_);
+  std::shared_ptr<Answers>& found = all_[workload];
+  if (!found) found = std::make_shared<Answers>();
+  return found;
+}
+std::map<std::string, std::shared_ptr<Answers>> AnswersByName::all() const {
+  std::lock_guard held(lock_);
+  return all_;
+}
+
 std::uint64_t Counters::bad_requests() const {
   std::uint64_t all = 0;
   for (const Count& n : bad) all += n;
@@ -29,6 +40,7 @@
   line("broke_inside", broke_inside);
   line("handed_off", sent);
   line("out", sent - over);
+  line("written", written);
   for (std::size_t i = 0; i < ended.size(); ++i) line(fmt::format("ended_{}", kEndedNames[i]), ended[i]);
   line("connections_taken", connections_taken);
   line("accepts_failed", accepts_failed);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -4,6 +4,9 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <string>
 
 #include "net/ending.h"
@@ -11,19 +14,46 @@
 
 namespace troutstage::net {
 
+// Final answers of one workload, also of what this node has no place for. They belong to its name: one that a
+// reload takes away and another brings back counts on.
+struct Answers {
+  std::atomic<std::uint64_t> succeeded{0}, rejected{0}, given_up{0};
+};
+class AnswersByName {
+ public:
+  std::shared_ptr<Answers> of(const std::string& workload);
+  std::map<std::string, std::shared_ptr<Answers>> all() const;
+
+ private:
+  mutable std::mutex lock_;
+  std::map<std::string, std::shared_ptr<Answers>> all_;
+};
+
+// What a node shows of itself at one moment.
+struct Figures {
+  struct Answered {
+    std::uint64_t succeeded = 0, rejected = 0, given_up = 0;
+  };
+  std::map<std::string, Answered> by_workload;
+  std::uint64_t written = 0, open = 0;  // hand-offs whose last byte is out; invocations not ended
+  std::size_t listed = 0, avoided = 0;  // backends
+  std::uint64_t reloads = 0, reloads_failed = 0;
+};
+
 struct Counters {
   using Count = std::atomic<std::uint64_t>;
   // Every invocation taken ends as one of the five below it, or is still held.
-  Count taken{0};
+  Count taken{0}, open{0};  // open: taken, and its answer not yet written whole
   Count succeeded{0}, rejected{0}, given_up{0}, client_gone{0}, broke_inside{0};
   // Every hand-off ends in one of the ways of Ended, or is still out.
-  Count handed_off{0};
+  Count handed_off{0}, written{0};  // to a thread; with its last byte to a backend
   std::array<Count, kEndedNames.size()> ended{};
   Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0},
       turned_off_stopping{0}, answers_unread{0};
   std::array<Count, kBadNames.size()> bad{};  // requests, by what is wrong with them
   Count watches{0}, watches_failed{0};
   Count reloads{0}, reloads_failed{0};
+  AnswersByName answers;
 
   void count(Ended how) { ++ended[static_cast<std::size_t>(how)]; }
   std::uint64_t bad_requests() const;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -52,6 +52,7 @@
   if (left <= 0 || shutter_.is_shut() ||
       write_both(fd, request_head(request, left), request.body, until) != Io::done)
     return Ended::cut_before_sent;
+  ++counters_.written;
   Reader in(fd, kStall);
   switch (read_response(in, until, answer_)) {
     case Got::whole: break;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -80,6 +80,14 @@
                     [](char x, char y) { return lower(x) == lower(y); });
 }
 
+std::string_view path_of(std::string_view target) {
+  if (const std::size_t scheme = target.find("://"); scheme != target.npos && scheme < target.find('/')) {
+    target.remove_prefix(scheme + 3);
+    target.remove_prefix(std::min(target.size(), target.find('/')));
+  }
+  return target.substr(0, target.find_first_of("?#"));
+}
+
 std::string_view trimmed(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
   while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,8 @@
   std::string_view line;  // as it came, with its end
 };
 
+enum class Kind { request, response };
+
 // A message's head, as views of the bytes it was read from.
 struct Head {
   std::string_view first[3];  // the three parts of its first line
@@ -27,6 +29,8 @@
   std::string_view value(std::string_view name) const;  // of the first such header; empty where there is none
   bool lists(std::string_view name, std::string_view token) const;  // in a list parted by commas
 };
+bool may_become_head(std::string_view bytes, std::size_t looked, Kind kind);
+std::string_view path_of(std::string_view target);  // without query, and without scheme and authority
 bool same_word(std::string_view a, std::string_view b);           // but for upper and lower case
 std::optional<Head> parse_head(std::string_view bytes);           // nothing: malformed
 std::optional<std::int64_t> parse_digits(std::string_view text);  // nothing but digits, and not too many
@@ -42,8 +46,6 @@
   stalled  // it had begun, and did not go on
 };         // nothing: it closed before the first byte
 
-enum class Kind { request, response };
-
 // Reads messages from one connection. The bytes of the next one stay in the buffer.
 class Reader {
  public:
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -16,13 +16,19 @@
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
 constexpr std::chrono::milliseconds kSettle{20};  // what a backend sends beyond its answer comes sooner
+// The front hears of a drain within some tenths of a second and sends new connections until then: what is
+// idle is let go after that, and long before it would count as held.
+constexpr std::chrono::milliseconds kFrontHears{1000};
 constexpr std::size_t kOneIdleIn = 10;            // connections of a node that stops
-constexpr std::size_t kOwnDescriptors = 10;       // listener, watch, log, vigil and a few to spare
+// Listener, watch, log, vigil and a few to spare.
+constexpr std::size_t kOwnDescriptors = 10;
 
 // So many are kept for clients whose request can only be turned away, so that none is left waiting unread.
 std::size_t reserve(const Config& config) { return 8 + config.descriptors / 64; }
 
-std::size_t budgeted(const Config& config) { return config.descriptors - kOwnDescriptors - reserve(config); }
+std::size_t budgeted(const Config& config) {
+  return config.descriptors - kOwnDescriptors - config.own_descriptors - reserve(config);
+}
 
 // Neither side gets more than two thirds. One that is worked for takes the touched part of two stacks and its
 // buffers beside its bodies: so many must fit into half of the memory, and all bodies of requests into a
@@ -48,6 +54,16 @@
       std::max<Tenths>(keepalive / 2, keepalive - std::max<Tenths>(5000, keepalive / 10)) * 100);
 }
 
+std::shared_ptr<const Terms> terms_of(const Settings& settings, const Names& names, Counters& counters) {
+  auto terms = std::make_shared<Terms>();
+  for (const auto& [name, index] : names.workloads)
+    terms->workloads[name] = {index, settings.workloads[index].semantics, counters.answers.of(name)};
+  terms->tenants = names.tenants;
+  terms->may_recall = settings.may_recall;
+  terms->connect_limit = std::chrono::microseconds(settings.connect_timeout * 100);
+  return terms;
+}
+
 }  // namespace
 
 SteadyClock::SteadyClock() : start_(Moment::clock::now()) {
@@ -72,11 +88,13 @@
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
-                                   known.version);
+                                   known.version, [this] { stage_.came_up(); });
+  if (!known.entries.empty()) stage_.came_up();
   balancer_.told(ListForm::cached, std::move(known.entries));
+  terms_ = terms_of(config_.settings, config_.names, counters_);
 }
 
-Node::~Node() { drain({}); }
+Node::~Node() { stop({}); }
 
 void Node::start() {
   accept_over_ = false;
@@ -181,7 +199,7 @@
 // Nobody can open another connection to a node that stops. Once a client found all of them busy, none was
 // used any more, and all requests were without a node; so a few are kept idle.
 bool Node::short_of_connections() {
-  return draining_ && lobby_.waiting(Lobby::Wait::next) < came_back_ / kOneIdleIn;
+  return stage_.is() == core::Stage::Is::stopping && lobby_.waiting(Lobby::Wait::next) < came_back_ / kOneIdleIn;
 }
 
 void Node::housekeep() {
@@ -190,6 +208,7 @@
     changed_.wait_for(held, std::chrono::milliseconds(250), [this] { return stopped_; });
     held.unlock();
     pool_.retire();
+    let_idle_go();
     held.lock();
   }
 }
@@ -225,21 +244,65 @@
   }
 }
 
-void Node::drain(const Stop& stop) {
-  if (draining_.exchange(true)) return;
-  log::info("draining");
+std::shared_ptr<const Terms> Node::terms() const {
+  std::lock_guard held(lock_);
+  return terms_;
+}
+
+bool Node::drain() {
+  if (stage_.is() != core::Stage::Is::draining) {
+    std::lock_guard held(lock_);
+    drained_since_ = Moment::clock::now();
+  }
+  if (!stage_.drain()) return false;
+  log::info("draining until it is activated");
+  return true;
+}
+
+bool Node::activate() {
+  if (!stage_.activate()) return false;
+  log::info("active");
+  return true;
+}
+
+void Node::let_idle_go() {
+  if (stage_.is() != core::Stage::Is::draining) return;
+  {
+    std::lock_guard held(lock_);
+    if (Moment::clock::now() - drained_since_ < kFrontHears) return;
+  }
+  lobby_.close_idle(false);
+}
+
+Figures Node::figures() {
+  Figures f;
+  for (const auto& [name, answers] : counters_.answers.all())
+    f.by_workload[name] = {answers->succeeded, answers->rejected, answers->given_up};
+  f.written = counters_.written;
+  f.open = counters_.open;
+  const auto census = balancer_.census();
+  f.listed = census.listed;
+  f.avoided = census.avoided;
+  f.reloads = counters_.reloads;
+  f.reloads_failed = counters_.reloads_failed;
+  return f;
+}
+
+void Node::stop(const Stop& how) {
+  if (!stage_.stop()) return;
+  log::info("stopping");
   const Moment told = Moment::clock::now();
-  const bool has_end = stop.answering.count() >= 0;
-  if (has_end) answer_by_ = clock_.now() + stop.answering.count() * 10;
+  const bool has_end = how.answering.count() >= 0;
+  if (has_end) answer_by_ = clock_.now() + how.answering.count() * 10;
   std::unique_lock held(lock_);
-  changed_.wait_until(held, told + stop.accepting, [] { return false; });
+  changed_.wait_until(held, told + how.accepting, [] { return false; });
   // Clients use the connections that they have for as long as these stay open, and may know no other node:
   // closed at once, two nodes that were stopped one after the other left all requests without one.
-  changed_.wait_until(held, told + stop.keeping, [this] { return open_ == 0; });
+  changed_.wait_until(held, told + how.keeping, [this] { return open_ == 0; });
   leaving_ = true;
   while (open_ > 0 || !accept_over_) {
     held.unlock();
-    lobby_.close_idle(has_end && Moment::clock::now() > told + stop.answering);
+    lobby_.close_idle(has_end && Moment::clock::now() > told + how.answering);
     end_slow_ones();
     held.lock();
     changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_ == 0 && accept_over_; });
@@ -254,7 +317,7 @@
   vigil_.stop();
   lobby_.stop();
   inner_.finish();
-  log::info("drained");
+  log::info("stopped");
 }
 
 }  // namespace troutstage::net
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -7,10 +7,12 @@
 
 #include "config/config.h"
 #include "core/balancer.h"
+#include "core/stage.h"
 #include "net/counters.h"
 #include "net/directory.h"
 #include "net/lobby.h"
 #include "net/pool.h"
+#include "net/terms.h"
 #include "net/threads.h"
 #include "net/transactions.h"
 #include "net/vigil.h"
@@ -43,7 +45,13 @@
   explicit Node(Config config);  // listens from here on; throws where it can't
   ~Node();
   void start();
-  void drain(const Stop& stop);  // ends gracefully: all held is answered
+  void stop(const Stop& how);  // ends gracefully: all held is answered
+  // Lets its clients go and takes no new ones, but runs on with all that it knows; and takes them again. False:
+  // it is stopping.
+  bool drain();
+  bool activate();
+  bool ready() const { return stage_.ready(); }
+  Figures figures();
   // Reads a configuration anew: a file that now names another discovery wins over where that was known from.
   // Whatever is wrong with the file, the node goes on as it is.
   void reload(const std::string& path);
@@ -69,6 +77,9 @@
     bool ended_ = false;
   };
 
+  std::shared_ptr<const Terms> terms() const;
+  bool lets_go() const { return leaving_ || stage_.is() == core::Stage::Is::draining; }
+  void let_idle_go();
   void accept_all();
   void take(Fd fd);
   void work_for(std::shared_ptr<Client> client);
@@ -80,10 +91,12 @@
   void closed(bool had_place);
 
   Config config_;
+  core::Stage stage_;
   std::string discovery_in_file_;  // as it was last read
   const SteadyClock clock_;
   core::Balancer balancer_;
   Counters counters_;
+  std::shared_ptr<const Terms> terms_;  // guarded by lock_
   Directory directory_;
   Budget budget_;
   Bytes bytes_;
@@ -93,12 +106,13 @@
   std::unique_ptr<Watch> watch_;
   Fd listener_;
 
-  std::mutex lock_;
+  mutable std::mutex lock_;
   std::condition_variable changed_;
   std::set<Reading*> reading_;
   std::size_t open_ = 0, over_budget_ = 0;  // clients' connections, and those of them that have no place
   bool stopped_ = false, accept_over_ = true;
-  std::atomic<bool> draining_{false}, leaving_{false};  // told to stop; closes what has been answered
+  std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
+  Moment drained_since_;              // guarded by lock_
   std::atomic<Tenths> answer_by_{INT64_MAX};
   std::atomic<std::size_t> came_back_{0};  // clients' connections that were used more than once
   const std::size_t reserve_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -106,6 +106,7 @@
     log::debug("list {} {} with {} entries", list.version, list.full ? "full" : "delta", list.entries.size());
     const bool news = list.full || !list.entries.empty();
     balancer_.told(list.full ? ListForm::full : ListForm::delta, list.entries);
+    if (on_list_) on_list_();
     // A service that does not wait would be asked without end; nothing comes on the connection meanwhile.
     if (!news && Moment::clock::now() - asked < kTooSoon)
       wait_readable(fd.get(), Moment::clock::now() + kTooSoon);
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -1,6 +1,7 @@
 // Follows discovery's list for the decisions, for as long as they want it watched.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -14,9 +15,9 @@
 class Watch {
  public:
   Watch(core::Balancer& balancer, Directory& directory, Counters& counters, const sockaddr_in& discovery,
-        std::int64_t version)
+        std::int64_t version, std::function<void()> on_list = {})
       : balancer_(balancer), directory_(directory), counters_(counters), discovery_(discovery),
-        version_(version) {}
+        version_(version), on_list_(std::move(on_list)) {}
   void run();                               // until stop() here and at the balancer
   void stop();                              // ends a call that is out
   void move(const sockaddr_in& discovery);  // the same, and goes on at another place from its whole list on
@@ -36,6 +37,7 @@
   bool moved_ = false, stopped_ = false;
   std::int64_t version_;              // this and the next: used by run() alone
   std::chrono::milliseconds wait_{};  // what discovery is asked to wait for news
+  const std::function<void()> on_list_;  // after each list that was told
 };
 
 }  // namespace troutstage::net
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -200,6 +200,7 @@
     case Do::set_timer: return line("ARM", time, "0");
     case Do::watch: return line("TAIL", "1");
     case Do::probe: return line("SOUND_OUT", ids.backend_id(action.backend));
+    case Do::census:  // nobody asks for it there
     case Do::release:
     case Do::forget: return;
   }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -183,7 +183,7 @@
   CHECK(visitor.ask(request("pay")).status == 502);
   CHECK(calls == 1);
   visitor.leave();
-  fleet.node.drain({});
+  fleet.node.stop({});
   check_sums(fleet.node.counters());
 }
 
@@ -235,7 +235,7 @@
   reached.await();
   visitor.leave();
   ended.await();
-  fleet.node.drain({});
+  fleet.node.stop({});
   CHECK(fleet.node.counters().client_gone == 1);
   CHECK(fleet.node.counters().ended[static_cast<std::size_t>(Ended::recalled)] == 1);
   check_sums(fleet.node.counters());
@@ -256,7 +256,7 @@
   ended.await();
   CHECK(calls == 2);
   visitor.leave();
-  fleet.node.drain({});
+  fleet.node.stop({});
   CHECK(fleet.node.counters().ended[static_cast<std::size_t>(Ended::recalled)] == 1);
   check_sums(fleet.node.counters());
 }
@@ -286,7 +286,7 @@
   CHECK(idle.ask("GET /up HTTP/1.1\r\n\r\n").status == 200);
   busy.send(request("view"));
   reached.await();
-  std::thread drains([&] { fleet.node.drain({milliseconds(300), {}}); });
+  std::thread drains([&] { fleet.node.stop({milliseconds(300), {}}); });
   for (int status = 200; status == 200;) status = Visitor(fleet.node).ask("GET /up HTTP/1.1\r\n\r\n").status;
   Visitor late(fleet.node);
   Response r = late.ask(request("view"));
@@ -308,7 +308,7 @@
   Visitor kept(fleet.node);
   CHECK(kept.ask("GET /up HTTP/1.1\r\n\r\n").status == 200);
   std::thread drains([&] {
-    fleet.node.drain({{}, std::chrono::hours(1), milliseconds(answers ? 3600000 : 300)});
+    fleet.node.stop({{}, std::chrono::hours(1), milliseconds(answers ? 3600000 : 300)});
   });
   while (kept.ask("GET /up HTTP/1.1\r\n\r\n").status == 200) {
   }
@@ -335,7 +335,7 @@
   for (int i = 0; i < 10; ++i) visitors.push_back(std::make_unique<Visitor>(fleet.node));
   for (int i = 0; i < 20; ++i) CHECK(visitors[i % 10]->ask(request("view")).status == 200);
   holds = true;
-  std::thread drains([&] { fleet.node.drain({{}, std::chrono::hours(1), std::chrono::hours(1)}); });
+  std::thread drains([&] { fleet.node.stop({{}, std::chrono::hours(1), std::chrono::hours(1)}); });
   while (visitors[9]->ask("GET /up HTTP/1.1\r\n\r\n").status == 200) {
   }
   std::vector<std::thread> clients;
@@ -490,7 +490,7 @@
     });
   for (std::thread& client : clients) client.join();
   CHECK(answered == 16 * 80);
-  fleet.node.drain({});
+  fleet.node.stop({});
   CHECK(fleet.node.counters().client_gone == 0);
   CHECK(fleet.node.counters().bad_requests() == 0);  // none was cut between its two halves
   check_sums(fleet.node.counters());
@@ -518,7 +518,7 @@
   node.start();
   told.await();
   CHECK(Visitor(node).ask(request("view")).status == 200);
-  node.drain({});
+  node.stop({});
   const std::string call = "GET /discovery/hosts?index=";
   CHECK(asked ==
         std::vector<std::string>{call + "5", call + "5", call + "5", call + "5", call + "7", call + "9"});
--- /dev/null
+++ b/tests/ops_test.cpp
@@ -0,0 +1,215 @@
+#include <nlohmann/json.hpp>
+
+#include "core/stage.h"
+#include "ops/door.h"
+#include "ops/figures.h"
+#include "stand_in.h"
+
+using namespace stand_in;
+
+namespace {
+
+// A node with its door, as the program puts them together.
+struct Operable : Fleet, ops::Operated {
+  explicit Operable(const std::vector<std::string>& backends, int descriptors = 1024)
+      : Fleet(backends, descriptors) {}
+  bool ready() override { return node.ready(); }
+  bool drain() override { return node.drain(); }
+  bool activate() override { return node.activate(); }
+  std::string figures() override { return ops::figures_text(node.figures()); }
+  ops::Door door{parse_address("127.0.0.1:0"), *this};
+
+  std::string at() const { return "127.0.0.1:" + std::to_string(door.port()); }
+  int call(const std::string& what) { return Visitor(at()).ask(what + " HTTP/1.1\r\nHost: h\r\n\r\n").status; }
+  nlohmann::json shown() {
+    return nlohmann::json::parse(Visitor(at()).ask("GET /v1/metrics HTTP/1.1\r\n\r\n").body);
+  }
+};
+
+const std::string kUp = "GET /up HTTP/1.1\r\n\r\n";
+
+}  // namespace
+
+TEST_CASE("a node's stage knows its way back from a drain and none from a stop", "[ops]") {
+  core::Stage stage;
+  CHECK(stage.is() == core::Stage::Is::starting);
+  CHECK(stage.drain());  // before it is up: it comes up drained
+  stage.came_up();
+  CHECK(stage.is() == core::Stage::Is::draining);
+  CHECK(stage.drain());
+  CHECK(stage.activate());
+  CHECK(stage.activate());
+  CHECK(stage.ready());
+  CHECK(stage.drain());
+  CHECK(stage.stop());
+  CHECK_FALSE(stage.stop());
+  CHECK(stage.is() == core::Stage::Is::stopping);
+  CHECK_FALSE(stage.activate());
+  CHECK_FALSE(stage.drain());
+  CHECK_FALSE(stage.ready());
+}
+
+TEST_CASE("the door answers each call, and says what is wrong with any other", "[ops]") {
+  Server backend(always(ok("")));
+  Operable it({backend.address()});
+  const auto [call, status] = GENERATE(table<std::string, int>({
+      {"GET /v1/readyz", 200},
+      {"GET /v1/readyz?verbose=1", 200},
+      {"GET http://node/v1/readyz", 200},
+      {"GET /v1/metrics", 200},
+      {"POST /v1/node/drain", 200},
+      {"POST /v1/node/activate", 200},
+      {"GET /v1/node/drain", 405},
+      {"POST /v1/metrics", 405},
+      {"GET /v1/nothing", 404},
+      {"GET /up", 404},
+      {"no call", 404},
+      {"nothing", 400},
+  }));
+  CHECK(it.call(call) == status);
+  CHECK(it.node.ready() == (call != "POST /v1/node/drain"));
+}
+
+TEST_CASE("an order takes effect when it has come whole, and not before", "[ops]") {
+  Operable it({closed_port()});
+  Visitor slow(it.at());
+  slow.send("POST /v1/node/drain HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+  CHECK(it.call("GET /v1/readyz") == 200);
+  CHECK(slow.ask("cd").status == 200);
+  CHECK(it.call("GET /v1/readyz") == 503);
+  const auto status = [&](const std::string& bytes) { return Visitor(it.at()).ask(bytes).status; };
+  CHECK(status("GET /v1/readyz HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n") == 400);
+  CHECK(status("GET /v1/readyz HTTP/1.1\r\nContent-Length: 99999\r\n\r\n") == 413);
+  CHECK(status("GET /v1/readyz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n") == 411);
+  CHECK(status("GET /v1/readyz HTTP/1.1\r\nX: " + std::string(20000, 'x')) == 431);
+}
+
+TEST_CASE("callers that hold a connection and say nothing keep no call out", "[ops]") {
+  Operable it({closed_port()});
+  std::vector<std::unique_ptr<Visitor>> silent;
+  for (std::size_t i = 0; i < 3 * ops::Door::kPlaces; ++i) {
+    silent.push_back(std::make_unique<Visitor>(it.at()));
+    silent.back()->send("GET /v1/me");
+  }
+  CHECK(it.call("GET /v1/readyz") == 200);
+  CHECK(silent.front()->ended());  // the oldest went for it
+}
+
+TEST_CASE("a node whose clients take all its places still answers its operators", "[ops]") {
+  Server silent(no_news);
+  Operable it({silent.address()}, 34);  // ten clients' connections
+  std::vector<std::unique_ptr<Visitor>> busy;
+  for (int i = 0; i < 10; ++i) {
+    busy.push_back(std::make_unique<Visitor>(it.node));
+    busy.back()->send(request("pay", "x", 60000));
+  }
+  while (it.node.counters().taken < 10) std::this_thread::yield();
+  CHECK(Visitor(it.node).ask(request("pay")).status == 503);
+  const auto shown = it.shown();
+  CHECK(shown["open_requests"] == 10);
+  CHECK(shown["throttled"]["pay"] == 1);  // its client was told so, whatever the node calls it
+  busy.clear();
+}
+
+TEST_CASE("figures are what peers saw, by workload", "[ops]") {
+  std::atomic<bool> fails{false};
+  Server backend([&](const Server::Call&) {
+    return fails ? "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n" : ok("done");
+  });
+  Operable it({backend.address()});
+  Visitor visitor(it.node);
+  for (int i = 0; i < 3; ++i) CHECK(visitor.ask(request("view")).status == 200);
+  CHECK(visitor.ask(request("order")).status == 200);
+  fails = true;
+  CHECK(visitor.ask(request("pay")).status == 502);
+  const auto shown = it.shown();
+  CHECK(shown["fulfilled"] == nlohmann::json({{"view", 3}, {"order", 1}, {"pay", 0}}));
+  CHECK(shown["throttled"] == nlohmann::json({{"view", 0}, {"order", 0}, {"pay", 0}}));
+  CHECK(shown["faulted"] == nlohmann::json({{"view", 0}, {"order", 0}, {"pay", 1}}));
+  CHECK(shown["relayed"] == backend.calls());
+  CHECK(shown["open_requests"] == 0);
+  CHECK(shown["registry_entries"] == 1);
+}
+
+TEST_CASE("who is listed and who is avoided is told by the decisions", "[ops]") {
+  Server good(always(ok(""))), bad(always("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"));
+  Flag told;
+  Server discovery([&](const Server::Call& call) {
+    if (call.number == 0)
+      return ok(
+          R"({"version":2,"full":false,"servers":[{"id":"d","addr":"127.0.0.1:81","state":"draining"}]})");
+    if (call.number == 1) told.set();
+    return no_news(call);
+  });
+  Node node(config(list(1, true, {good.address(), good.address(), bad.address()}), discovery.address()));
+  node.start();
+  told.await();
+  CHECK(node.figures().listed == 4);
+  CHECK(node.figures().avoided == 1);  // the one that drains
+  Visitor visitor(node);
+  while (bad.calls() < 4) visitor.ask(request("view"));
+  CHECK(node.figures().avoided == 2);
+}
+
+TEST_CASE("a drained node lets its clients go, serves what still comes, and comes back", "[ops]") {
+  Flag reached, go_on;
+  Server backend([&](const Server::Call& call) {
+    if (call.number == 1) reached.set(), go_on.await();
+    return ok("done");
+  });
+  Operable it({backend.address()});
+  Visitor kept(it.node), busy(it.node), idle(it.node);
+  CHECK(kept.ask(request("view")).keep_alive);
+  CHECK(idle.ask(kUp).status == 200);
+  busy.send(request("view"));
+  reached.await();
+  const Moment limit = soon(4000);
+  CHECK(it.call("POST /v1/node/drain") == 200);
+  CHECK(Visitor(it.node).ask(kUp).status == 503);
+  CHECK(it.call("GET /v1/readyz") == 503);
+  Visitor late(it.node);  // the front has not heard of it yet
+  for (Visitor* v : {&kept, &late}) {
+    const Response r = v->ask(request("view"));
+    CHECK(r.status == 200);
+    CHECK_FALSE(r.keep_alive);
+    CHECK(v->ended());
+  }
+  CHECK(idle.ended());
+  CHECK(Moment::clock::now() < limit);
+  go_on.set();
+  Response r;
+  REQUIRE(busy.receive(r) == Got::whole);
+  CHECK(r.status == 200);
+  CHECK_FALSE(r.keep_alive);
+
+  CHECK(it.call("POST /v1/node/activate") == 200);
+  Visitor again(it.node);
+  CHECK(again.ask(kUp).status == 200);
+  CHECK(again.ask(request("view")).keep_alive);
+
+  // A stop goes on from a drain, and there is no way back from it.
+  CHECK(it.call("POST /v1/node/drain") == 200);
+  std::thread stops([&] { it.node.stop({milliseconds(100), std::chrono::hours(1)}); });
+  while (it.call("POST /v1/node/activate") == 200) {
+  }
+  CHECK(it.call("POST /v1/node/drain") == 409);
+  CHECK(it.call("GET /v1/readyz") == 503);
+  again.leave();
+  stops.join();
+}
+
+TEST_CASE("a node is ready once it knows a list", "[ops]") {
+  Flag go_on;
+  Server backend(always(ok("")));
+  Server discovery([&](const Server::Call& call) {
+    if (call.number > 0) return no_news(call);
+    go_on.await();
+    return ok(list(2, true, {backend.address()}));
+  });
+  Node node(config(list(0, true, {}), discovery.address()));
+  node.start();
+  CHECK(Visitor(node).ask(kUp).status == 503);
+  go_on.set();
+  while (!node.ready()) std::this_thread::yield();
+  CHECK(Visitor(node).ask(kUp).status == 200);
+}
