New settings at SIGHUP hold for what comes, old ones for what is under way

Change: the file is checked whole against the running one (check_complete), then goes into the module as the event NewSettings; workloads get numbers by lease (core::Lanes), requests keep the terms they came with. Ruled out before: the drain, whose 4 calls were all right and all put back in time.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,9 +1,12 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 
 namespace troutstage {
@@ -23,7 +26,7 @@
   } else if (value.is_array()) {
     std::string all;
     for (const Json& one : value)
-      all += (all.empty() ? "" : ",") + (one.is_string() ? one.get<std::string>() : one.dump());
+      all.append(all.empty() ? "" : ",").append(one.is_string() ? one.get<std::string>() : one.dump());
     into[path] = all;
     into[below("count")] = std::to_string(value.size());
   } else if (!value.is_null()) {
@@ -60,6 +63,8 @@
     if (c.memory_mb < 8 || c.memory_mb > 1000000) throw Malformed("limits.memory_mb is out of range");
     Pairs pairs;
     flatten("", json.at("settings"), pairs);
+    for (const auto& [key, value] : json.items())
+      if (key != "known") flatten(key, value, c.given);
     c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : 0, c.names);
     if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
     // The protocol on sockets has no probes.
@@ -70,9 +75,55 @@
   }
 }
 
+namespace {
+
+// The keys of a list's items, for each kind of item: workloads of unlike semantics have unlike keys.
+using Keys = std::set<std::string, std::less<>>;
+std::map<std::string, std::vector<Keys>> items_by_kind(const Pairs& given, const std::string& list) {
+  std::map<std::string, std::vector<Keys>> all;
+  const std::string from = list + ".";
+  for (int i = 0;; ++i) {
+    const std::string at = from + std::to_string(i) + ".";
+    Keys keys;
+    for (auto p = given.lower_bound(at); p != given.end() && p->first.starts_with(at); ++p)
+      keys.insert(p->first.substr(at.size()));
+    if (keys.empty()) return all;
+    const auto kind = given.find(at + "semantics");
+    all[kind == given.end() ? "" : kind->second].push_back(std::move(keys));
+  }
+}
+
+}  // namespace
+
+void check_complete(const Config& running, const Config& fresh) {
+  constexpr std::string_view kLists[] = {"settings.workloads", "settings.tenants"};
+  const auto in_list = [&](const std::string& path) {
+    return std::any_of(std::begin(kLists), std::end(kLists), [&](std::string_view list) {
+      return path.starts_with(list) && path.size() > list.size() + 1 && path[list.size()] == '.' &&
+             path[list.size() + 1] >= '0' && path[list.size() + 1] <= '9';
+    });
+  };
+  for (const auto& [path, value] : running.given)
+    if (path != "seed" && !in_list(path) && !fresh.given.count(path)) throw Malformed(path + " is missing");
+  for (const std::string_view list : kLists) {
+    const auto before = items_by_kind(running.given, std::string(list));
+    for (const auto& [kind, items] : items_by_kind(fresh.given, std::string(list))) {
+      const auto known = before.find(kind);
+      if (known == before.end()) continue;
+      for (const std::string& key : known->second.front()) {
+        const auto has = [&](const Keys& keys) { return keys.count(key) > 0; };
+        if (std::all_of(known->second.begin(), known->second.end(), has) &&
+            !std::all_of(items.begin(), items.end(), has))
+          throw Malformed(std::string(list) + ": " + key + " is missing");
+      }
+    }
+  }
+}
+
 std::string read_file(const std::string& path) {
   std::ifstream in(path);
   std::stringstream text;
+  if (in && in.peek() == std::ifstream::traits_type::eof()) throw Malformed("it is empty");
   if (!in || !(text << in.rdbuf())) throw Malformed("can't read '" + path + "': " + std::strerror(errno));
   return text.str();
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -16,11 +16,14 @@
   std::size_t descriptors = 1024, memory_mb = 192;
   std::size_t own_descriptors = 0;  // what else in this process keeps open
   Settings settings;
+  Pairs given;  // all of the file but the list, by paths
   Names names;
 };
 
 // Throws Malformed with one line that says what is wrong.
 Config read_config(const std::string& json);
+// Throws Malformed where `fresh` lacks what the running one has: a default there would be taken for its word.
+void check_complete(const Config& running, const Config& fresh);
 std::string read_file(const std::string& path);
 
 }  // namespace troutstage
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -16,6 +16,7 @@
   std::vector<HandedOff> handed_off;  // by number
   std::condition_variable changed;
   Balancer::Urgent urgent;  // who picks is busy: takes what can't wait
+  std::shared_ptr<const void> lease;
 };
 
 Balancer::Balancer(const Settings& settings, const Clock& clock)
@@ -24,6 +25,7 @@
 Ticket Balancer::take(const Demand& demand) {
   std::unique_lock held(lock_);
   auto v = std::make_shared<Invocation>();
+  v->lease = demand.lease;
   if (free_.empty()) {
     v->index = static_cast<Index>(held_.size());
     held_.push_back(v);
@@ -86,6 +88,11 @@
   return ticket->final;
 }
 
+void Balancer::settle(std::shared_ptr<const Settings> settings, std::vector<Index> like) {
+  std::unique_lock held(lock_);
+  tell(held, NewSettings{std::move(settings), std::move(like)});
+}
+
 Balancer::Census Balancer::census() {
   std::unique_lock held(lock_);
   tell(held, troutstage::Census{});
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -21,6 +21,7 @@
   Tenths valid_until = 0;
   double hint = 0;  // expected work in tenths of a millisecond; 0: not told
   bool client_repeat = false;
+  std::shared_ptr<const void> lease;  // on the workload's number, to the invocation's end
 };
 
 enum class Next {
@@ -57,6 +58,8 @@
   void client_gone(const Ticket& ticket);
   bool answered(const Ticket& ticket);  // its last step stands, and nothing goes out any more
 
+  // Holds for what is taken from now on.
+  void settle(std::shared_ptr<const Settings> settings, std::vector<Index> like);
   struct Census {
     std::size_t listed = 0, avoided = 0;  // backends, and those of them that the decisions avoid now
   };
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -76,6 +76,7 @@
   s.zone = named(names.zones, pairs.text("zone"));
   s.nodes = pairs.count("instances");
   s.max_hand_offs = pairs.count("bounds.max-hand-offs");
+  if (s.max_hand_offs < 1) throw Malformed("bounds.max-hand-offs is not over 0");
   s.must_ask = pairs.text("discovery") == "on_request";
   s.may_recall = pairs.flag("bounds.cancel");
   s.may_probe = pairs.flag("bounds.probes");
@@ -104,7 +105,12 @@
     w.time_limit = pairs.span(at + "time-limit");
     w.billing_value = pairs.real(at + "billing-value");
     w.overdue_share = real_number(pairs.text_or(at + "overdue-billing-value", "0"), "overdue-billing-value");
-    names.workloads.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
+    const auto [named_one, fresh] =
+        names.workloads.emplace(std::string(pairs.text(at + "name")), static_cast<Index>(i));
+    if (!fresh && named_one->second != static_cast<Index>(i))
+      throw Malformed("two workloads are called '" + named_one->first + "'");
+    if (w.time_limit <= 0 || w.due_time <= 0)
+      throw Malformed("workload '" + named_one->first + "' has a time not over 0");
     s.workloads.push_back(w);
   }
   for (int i = 0, n = pairs.count("tenants.count", "0"); i < n; ++i) {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -124,7 +124,7 @@
   Tenths arrived = 0, valid_until = 0;
   double work = 0;
   int out = 0;
-  int soundings = 0;
+  int soundings = 0, most = 1;              // hand-offs that it may have
   std::array<Index, 2> pair{kNone, kNone};  // whose probes are waited for
   Tenths sound_until = 0;                   // how long; 0: not at all
   Tenths copy_at = 0;                       // when a second copy may go out; 0: not at all
@@ -137,18 +137,11 @@
 class Decider::Impl {
  public:
   Impl(const Settings& s, Tenths now)
-      : chance_(s.seed), max_hand_offs_(s.max_hand_offs), second_copies_(s.second_copies),
-        may_recall_(s.may_recall), may_probe_(s.may_probe), zone_(s.zone), nodes_(std::max(1, s.nodes)),
-        first_limit_(kFirstTogether / std::max(1, s.nodes)),
-        least_limit_(kLeastTogether / std::max(1, s.nodes)),
-        max_retry_in_(s.client_heeds_retry_in ? s.max_retry_in : 0), margin_(s.tick + 1),
-        cold_from_(s.cold_from), warm_within_(s.warm_within),
+      : chance_(s.seed), zone_(s.zone), margin_(s.tick + 1),
         // Half a bucket more than the window is counted, and some room is left for chance.
-        fall_bucket_(s.fall_window / 15 + 1), cold_multiple_(s.fall_multiple * kColdRoom),
-        ask_gap_(s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0), keepalive_(s.keepalive),
-        workloads_(s.workloads) {
-    for (const Workload& w : s.workloads) usual_.push_back(static_cast<double>(w.due_time) / 4);
-    usual_work_ = usual_;
+        fall_bucket_(s.fall_window / 15 + 1) {
+    derive(s);
+    usual_ = usual_work_ = first_guess();
     started_.set_span(kSecond / 10);
     for (Ring<8>* r : {&connected_, &refused_}) r->set_span(kSecond);
     by_workload_.resize(s.workloads.size());
@@ -168,6 +161,28 @@
  private:
   static constexpr double kColdRoom = 0.7;
 
+  void derive(const Settings& s) {
+    max_hand_offs_ = s.max_hand_offs;
+    second_copies_ = s.second_copies;
+    may_recall_ = s.may_recall;
+    may_probe_ = s.may_probe;
+    nodes_ = std::max(1, s.nodes);
+    first_limit_ = kFirstTogether / nodes_;
+    least_limit_ = kLeastTogether / nodes_;
+    max_retry_in_ = s.client_heeds_retry_in ? s.max_retry_in : 0;
+    cold_from_ = s.cold_from;
+    warm_within_ = s.warm_within;
+    cold_multiple_ = s.fall_multiple * kColdRoom * s.cold_share;
+    ask_gap_ = s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0;
+    keepalive_ = s.keepalive;
+    workloads_ = s.workloads;
+  }
+  std::vector<double> first_guess() const {
+    std::vector<double> guess;
+    for (const Workload& w : workloads_) guess.push_back(static_cast<double>(w.due_time) / 4);
+    return guess;
+  }
+
   // ---- events
 
   void on(const FleetList& list) {
@@ -231,6 +246,7 @@
     v.arrived = now_;
     v.valid_until = a.valid_until;
     v.repeat = a.client_repeat;
+    v.most = max_hand_offs_;
     v.hinted = a.hint > 0;
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
@@ -292,6 +308,20 @@
     }
   }
 
+  void on(const NewSettings& e) {
+    derive(*e.settings);
+    // What was learned of a workload stays its own, under whatever number.
+    const auto carry = [&e]<class T>(std::vector<T>& all, std::vector<T> fresh) {
+      for (std::size_t i = 0; i < fresh.size(); ++i)
+        if (e.like[i] < all.size()) fresh[i] = all[e.like[i]];
+      all = std::move(fresh);
+    };
+    carry(usual_, first_guess());
+    carry(usual_work_, first_guess());
+    carry(by_workload_, std::vector<Health>(workloads_.size()));
+    for (Backend& b : backends_) carry(b.by_workload, std::vector<Health>(workloads_.size()));
+  }
+
   // Draws no chance: being asked changes no decision.
   void on(const Census&) {
     Tenths listed = 0;
@@ -441,7 +471,7 @@
   bool hand_off(Index i) {
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
-    if (static_cast<int>(v.hand_offs.size()) >= max_hand_offs_) return false;
+    if (static_cast<int>(v.hand_offs.size()) >= v.most) return false;
     if (total_out_ + uniform() >= node_limit_) return false;  // below one, chance gives the fraction
     if (beyond_hope(v)) return false;
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
@@ -843,17 +873,15 @@
   }
 
   std::knuth_b chance_;
-  const int max_hand_offs_;
-  const bool second_copies_, may_recall_, may_probe_;
   const Index zone_;
-  const double nodes_, first_limit_, least_limit_;
-  const Tenths max_retry_in_;  // 0 where clients don't heed it
-  const Tenths margin_;        // no answer is left closer than this to its limit
-  const double cold_from_;
-  const Tenths warm_within_, fall_bucket_;
-  const double cold_multiple_;
-  const Tenths ask_gap_, keepalive_;
-  const std::vector<Workload> workloads_;
+  const Tenths margin_;  // no answer is left closer than this to its limit
+  const Tenths fall_bucket_;
+  int max_hand_offs_ = 1;  // this and the next: from the settings, by derive() alone
+  bool second_copies_ = false, may_recall_ = false, may_probe_ = false;
+  double nodes_ = 1, first_limit_ = 0, least_limit_ = 0, cold_from_ = 1, cold_multiple_ = 0;
+  Tenths max_retry_in_ = 0;  // 0 where clients don't heed it
+  Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0;
+  std::vector<Workload> workloads_;  // by index; some may be those of invocations under way alone
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   std::uint64_t order_ = 0;
--- a/src/decide.h
+++ b/src/decide.h
@@ -23,6 +23,7 @@
   Tenths time_limit = 0;
   double billing_value = 1;
   double overdue_share = 0;  // part of the billing value paid after the due time
+  bool operator==(const Workload&) const = default;
 };
 
 struct Tenant {
@@ -51,6 +52,7 @@
   Tenths fall_window = 0;
   Tenths warm_within = 0;
   double fall_multiple = 1;
+  double cold_share = 1;  // of what this node may send to cold backends: another process may have the rest
   double cold_from = 1;
   std::vector<Workload> workloads;
   std::vector<Tenant> tenants;
@@ -114,10 +116,16 @@
   Tenths took = 0;
 };
 
+// Holds for what arrives from now on; what is under way keeps its workload's terms and its number of hand-offs.
+struct NewSettings {
+  std::shared_ptr<const Settings> settings;  // seed, zone, tick and the fall window stay as they were
+  std::vector<Index> like;  // by workload: whose past it goes on from, its own if it stays; kNone: it has none
+};
 struct Census {};  // asks how many backends are listed, and how many of them are avoided now
 
 using Event =
-    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded, Census>;
+    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded, NewSettings,
+                 Census>;
 
 enum class Do {
   hand_off,   // invocation, backend, at: when to drop it
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -99,7 +99,7 @@
     if (got == SIGHUP) node.reload(path);
     else log::info("{}", node.counters().text());
   }
-  node.stop(stop_before_the_kill(config.settings));
+  node.stop(stop_before_the_kill(*node.settings()));
   log::info("{}", node.counters().text());
   return 0;
 }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -152,7 +152,8 @@
 bool Client::invoke(const std::shared_ptr<Work>& work, Tenths arrived) {
   const Request& request = work->request;
   core::Demand demand;
-  demand.workload = work->offer.workload;
+  demand.workload = work->offer.lane.workload;
+  demand.lease = work->offer.lane.lease;
   const auto tenant = work->terms->tenants.find(request.tenant);
   if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
   demand.valid_until = std::min(arrived + request.remaining_ms * 10, node_.answer_by_.load());
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -54,16 +54,6 @@
       std::max<Tenths>(keepalive / 2, keepalive - std::max<Tenths>(5000, keepalive / 10)) * 100);
 }
 
-std::shared_ptr<const Terms> terms_of(const Settings& settings, const Names& names, Counters& counters) {
-  auto terms = std::make_shared<Terms>();
-  for (const auto& [name, index] : names.workloads)
-    terms->workloads[name] = {index, settings.workloads[index].semantics, counters.answers.of(name)};
-  terms->tenants = names.tenants;
-  terms->may_recall = settings.may_recall;
-  terms->connect_limit = std::chrono::microseconds(settings.connect_timeout * 100);
-  return terms;
-}
-
 }  // namespace
 
 SteadyClock::SteadyClock() : start_(Moment::clock::now()) {
@@ -77,8 +67,7 @@
 Moment SteadyClock::at(Tenths when) const { return start_ + std::chrono::microseconds((when - kDay) * 100); }
 
 Node::Node(Config config)
-    : config_(std::move(config)), discovery_in_file_(config_.discovery_in_file),
-      balancer_(config_.settings, clock_), directory_(config_.names, clock_.wall_offset()),
+    : config_(std::move(config)), balancer_(config_.settings, clock_), directory_(config_.names, clock_.wall_offset()),
       budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2),
       bytes_(config_.memory_mb * 1024 * 1024 / 4),
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
@@ -91,7 +80,8 @@
                                    known.version, [this] { stage_.came_up(); });
   if (!known.entries.empty()) stage_.came_up();
   balancer_.told(ListForm::cached, std::move(known.entries));
-  terms_ = terms_of(config_.settings, config_.names, counters_);
+  std::vector<Index> like;
+  terms_ = settle(config_.settings, config_.names, settings_, like);
 }
 
 Node::~Node() { stop({}); }
@@ -226,17 +216,51 @@
   changed_.notify_all();
 }
 
-// Work that is held and all that was learned stay: only the watch goes elsewhere.
+// What is offered under settings, and these with the numbers that it goes by. Reads no file and takes no lock.
+std::shared_ptr<const Terms> Node::settle(Settings fresh, const Names& names,
+                                          std::shared_ptr<const Settings>& all, std::vector<Index>& like) {
+  std::vector<std::string> called(fresh.workloads.size());
+  for (const auto& [name, index] : names.workloads) called[index] = name;
+  core::Lanes::Plan plan = lanes_.settle(called, fresh.workloads);
+  auto terms = std::make_shared<Terms>();
+  for (std::size_t i = 0; i < called.size(); ++i)
+    terms->workloads[called[i]] = {plan.offers[i], fresh.workloads[i].semantics, counters_.answers.of(called[i])};
+  terms->tenants = names.tenants;
+  terms->may_recall = fresh.may_recall;
+  terms->connect_limit = std::chrono::microseconds(fresh.connect_timeout * 100);
+  fresh.workloads = std::move(plan.workloads);
+  all = std::make_shared<const Settings>(std::move(fresh));
+  like = std::move(plan.like);
+  return terms;
+}
+
+// The file is read and checked whole before anything is touched. Work that is held and all that was learned
+// stay.
 void Node::reload(const std::string& path) {
   try {
-    const Config fresh = read_config(read_file(path));
-    const bool moves = !fresh.discovery.empty() && fresh.discovery != discovery_in_file_;
-    if (moves) {
-      watch_->move(parse_address(fresh.discovery));
-      discovery_in_file_ = fresh.discovery;
+    Config fresh = read_config(read_file(path));
+    check_complete(config_, fresh);
+    const bool moves = fresh.discovery_in_file != config_.discovery_in_file;
+    const sockaddr_in discovery = parse_address(moves ? fresh.discovery_in_file : "0.0.0.0:0");
+    // A new process is needed for these: measures taken by the old ones would be read by the new.
+    fresh.settings.zone = config_.settings.zone;
+    fresh.settings.tick = config_.settings.tick;
+    fresh.settings.fall_window = config_.settings.fall_window;
+    std::shared_ptr<const Settings> all;
+    std::vector<Index> like;
+    auto terms = settle(fresh.settings, fresh.names, all, like);
+    balancer_.settle(all, std::move(like));
+    {
+      std::lock_guard held(lock_);
+      terms_.swap(terms);
+      settings_ = all;
     }
+    if (moves) watch_->move(discovery);
+    config_.settings = fresh.settings;
+    config_.given = fresh.given;
+    config_.discovery_in_file = fresh.discovery_in_file;
     ++counters_.reloads;
-    log::info("configuration reloaded: {}",
+    log::info("configuration reloaded: {} workloads, {}", fresh.settings.workloads.size(),
               moves ? "discovery is now " + fresh.discovery : "no other discovery");
   } catch (const std::exception& unusable) {
     ++counters_.reloads_failed;
@@ -244,6 +268,11 @@
   }
 }
 
+std::shared_ptr<const Settings> Node::settings() const {
+  std::lock_guard held(lock_);
+  return settings_;
+}
+
 std::shared_ptr<const Terms> Node::terms() const {
   std::lock_guard held(lock_);
   return terms_;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -52,8 +52,10 @@
   bool activate();
   bool ready() const { return stage_.ready(); }
   Figures figures();
-  // Reads a configuration anew: a file that now names another discovery wins over where that was known from.
-  // Whatever is wrong with the file, the node goes on as it is.
+  std::shared_ptr<const Settings> settings() const;  // as they hold now
+  // Reads a configuration anew: its settings hold for what comes from then on, and a discovery that is another
+  // than the file named before wins over where that was known from. Where anything is wrong with the file,
+  // nothing of it is taken.
   void reload(const std::string& path);
   int port() const;
   const Counters& counters() const { return counters_; }
@@ -78,6 +80,8 @@
   };
 
   std::shared_ptr<const Terms> terms() const;
+  std::shared_ptr<const Terms> settle(Settings fresh, const Names& names, std::shared_ptr<const Settings>& all,
+                                      std::vector<Index>& like);
   bool lets_go() const { return leaving_ || stage_.is() == core::Stage::Is::draining; }
   void let_idle_go();
   void accept_all();
@@ -90,13 +94,14 @@
   void opened(bool has_place);  // a client's connection, and its end
   void closed(bool had_place);
 
-  Config config_;
+  Config config_;  // as it was last accepted
+  core::Lanes lanes_;
   core::Stage stage_;
-  std::string discovery_in_file_;  // as it was last read
   const SteadyClock clock_;
   core::Balancer balancer_;
   Counters counters_;
   std::shared_ptr<const Terms> terms_;  // guarded by lock_
+  std::shared_ptr<const Settings> settings_;  // with the workloads by number; guarded by lock_
   Directory directory_;
   Budget budget_;
   Bytes bytes_;
--- a/src/net/terms.h
+++ b/src/net/terms.h
@@ -6,13 +6,14 @@
 #include <memory>
 #include <string>
 
+#include "core/lanes.h"
 #include "core/settings.h"
 #include "net/counters.h"
 
 namespace troutstage::net {
 
 struct Offer {
-  Index workload = 0;
+  core::Lanes::Offer lane;
   Semantics semantics = Semantics::irreversible;
   std::shared_ptr<Answers> answers;
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "core/balancer.h"
+#include "core/lanes.h"
 
 using namespace troutstage;
 using namespace troutstage::core;
@@ -41,7 +42,7 @@
     return s;
   }
   Ticket take(int limit_ms = 1500) {
-    return balancer.take({0, kNone, clock.now() + limit_ms * kMs, 0, false});
+    return balancer.take({0, kNone, clock.now() + limit_ms * kMs, 0, false, {}});
   }
   void pass(int ms) {
     for (int i = 0; i < ms; ++i) clock.time += kMs, balancer.tick();
@@ -50,6 +51,56 @@
 
 }  // namespace
 
+TEST_CASE("a workload's number stands for its old terms for as long as anybody refers to it", "[core]") {
+  Lanes lanes;
+  Workload quick, slow;
+  quick.time_limit = 10, slow.time_limit = 20;
+  auto first = lanes.settle({"a", "b"}, {quick, quick});
+  CHECK(first.like == std::vector<Index>{kNone, kNone});
+  auto second = lanes.settle({"b", "a"}, {quick, slow});
+  CHECK(second.offers[0].workload == 1);  // unchanged
+  CHECK(second.offers[1].workload == 2);  // its terms are others, and it goes on from what the old one learned
+  CHECK(second.like == std::vector<Index>{0, 1, 0});
+  CHECK(second.workloads == std::vector<Workload>{quick, quick, slow});
+  // "a" as it was: its old number is still held by an invocation, so it can't be given for anything else.
+  auto third = lanes.settle({"c"}, {quick});
+  CHECK(third.offers[0].workload == 3);
+  CHECK(third.like[3] == kNone);
+  first = {}, second = {};
+  auto fourth = lanes.settle({"c", "d", "e", "f", "g"}, {quick, quick, quick, quick, quick});
+  CHECK(fourth.offers[0].workload == 3);
+  CHECK(fourth.workloads.size() == 5);  // the three that were free are used again
+  for (int i = 0; i < 100; ++i) fourth = lanes.settle({"x" + std::to_string(i)}, {quick});
+  CHECK(fourth.workloads.size() <= 10);
+}
+
+TEST_CASE("what is under way keeps the terms that it came with, and what comes has the new ones", "[core]") {
+  Facade f(Semantics::redoable, 9);
+  const Ticket before = f.take();
+  REQUIRE(f.balancer.pick(before).what == Next::hand_off);
+  auto fresh = std::make_shared<Settings>(Facade::settings(Semantics::redoable));
+  Workload strict = fresh->workloads[0];
+  strict.semantics = Semantics::irreversible;
+  fresh->workloads.push_back(strict);
+  fresh->max_hand_offs = 1;
+  f.balancer.settle(fresh, {0, 0});
+  // Under the new number of hand-offs, and the new semantics, it would be over after the first.
+  for (int n = 0; n < 2; ++n) {
+    f.balancer.report(before, n, Ending::error);
+    const Step next = f.balancer.pick(before);
+    CHECK(next.what == Next::hand_off);
+    CHECK(next.number == n + 1);
+  }
+  f.balancer.report(before, 2, Ending::succeeded);
+  CHECK(f.balancer.pick(before).what == Next::succeeded);
+  for (const Index workload : {0U, 1U}) {
+    const Ticket after = f.balancer.take({workload, kNone, f.clock.now() + 15000, 0, false, {}});
+    REQUIRE(f.balancer.pick(after).what == Next::hand_off);
+    f.balancer.report(after, 0, Ending::error);
+    CHECK(f.balancer.pick(after).what == (workload == 0 ? Next::reject : Next::give_up));
+  }
+}
+
 TEST_CASE("an answer ends its invocation, and a later one of another hand-off is nobody's", "[core]") {
   Facade f;
   const Ticket v = f.take();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,8 +3,6 @@
 #include <sys/wait.h>
 
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <set>
 
 #include "net/exchange.h"
@@ -561,23 +559,21 @@
     if (call.number == 1) new_told.set();
     return no_news(call);
   });
-  const auto path = std::filesystem::temp_directory_path() / ("troutstage-" + std::to_string(::getpid()));
-  const std::string file = path.string(), listen = closed_port();
-  const auto write_file = [&](const std::string& text) { std::ofstream(file) << text; };
-  write_file(config_text(list(80, true, {}), before.address(), 1024, listen));
+  const std::string listen = closed_port();
+  File file(config_text(list(80, true, {}), before.address(), 1024, listen));
   const std::string variable = "RELAY_DISCOVERY=" + before.address();
-  const char* arguments[] = {TROUTSTAGE_PROGRAM, "serve", "--config", file.c_str(), nullptr};
+  const char* arguments[] = {TROUTSTAGE_PROGRAM, "serve", "--config", file.path().c_str(), nullptr};
   const char* variables[] = {variable.c_str(), nullptr};
   pid_t program = 0;
   REQUIRE(::posix_spawn(&program, TROUTSTAGE_PROGRAM, nullptr, nullptr, const_cast<char**>(arguments),
                         const_cast<char**>(variables)) == 0);
   old_asked.await();
-  write_file("{\"name\":");  // can't be used: the old one stays
+  file.write("{\"name\":");  // can't be used: the old one stays
   REQUIRE(::kill(program, SIGHUP) == 0);
   Visitor visitor(listen);
   while (visitor.ask("GET /counters HTTP/1.1\r\n\r\n").body.find("reloads_failed 1\n") == std::string::npos)
     std::this_thread::yield();
-  write_file(config_text("[]", after.address(), 1024, listen));
+  file.write(config_text("[]", after.address(), 1024, listen));
   REQUIRE(::kill(program, SIGHUP) == 0);
   old_ended.await();
   new_told.await();
@@ -589,7 +585,6 @@
   CHECK(asked ==
         std::vector<std::string>{"GET /discovery/hosts HTTP/1.1\r\nHost: " + after.address() + "\r\n\r\n",
                                  "GET /discovery/hosts?index=3"});
-  std::filesystem::remove(path);
 }
 
 TEST_CASE("discovery that answers without waiting and without news is not asked without end", "[net]") {
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -213,3 +213,72 @@
   while (!node.ready()) std::this_thread::yield();
   CHECK(Visitor(node).ask(kUp).status == 200);
 }
+
+TEST_CASE("a file that is broken in any way changes nothing", "[ops]") {
+  Server backend(always(ok("")));
+  Fleet fleet({backend.address()});
+  const std::string good = config_text("[]", fleet.discovery.address());
+  const std::vector<std::string> all_broken = {
+      std::string(), good.substr(0, good.size() / 2), std::string("[]"), std::string("nonsense"),
+      replaced(good, "\"time-limit\":4000000,", ""), replaced(good, "\"time-limit\":4000000", "\"time-limit\":0"),
+      replaced(good, "\"time-limit\":4000000", "\"time-limit\":-5"),
+      replaced(good, "\"time-limit\":4000000", "\"time-limit\":\"long\""),
+      replaced(good, "\"due-time\":2000000", "\"due-time\":99999999999999999999999"),
+      replaced(good, "\"max-hand-offs\":3", "\"max-hand-offs\":0"), replaced(good, "\"max-hand-offs\":3,", ""),
+      replaced(good, "\"group\":\"cell\",", ""), replaced(good, "\"window\":2000000,", ""),
+      replaced(good, "\"keepalive\":10000000", "\"keepalife\":1"), replaced(good, "\"zones\":[\"east\",\"west\"],", ""),
+      replaced(good, "\"limits\":{\"sockets\":1024},", ""), replaced(good, "\"name\":\"pay\"", "\"name\":\"view\""),
+      replaced(good, "\"discovery\":\"" + fleet.discovery.address() + "\",", ""),
+      replaced(good, fleet.discovery.address(), "nowhere")};
+  File file(good);
+  const auto before = fleet.node.settings();
+  std::uint64_t failed = 0;
+  for (const std::string& broken : all_broken) {
+    INFO(broken);
+    file.write(broken);
+    fleet.node.reload(file.path());
+    CHECK(fleet.node.figures().reloads_failed == ++failed);
+    CHECK(fleet.node.settings() == before);
+  }
+  file.write(good);
+  fleet.node.reload(file.path());
+  CHECK(fleet.node.figures().reloads == 1);
+  CHECK(fleet.node.figures().reloads_failed == failed);
+}
+
+TEST_CASE("a reload brings workloads and takes them away, while one is under way on old terms", "[ops]") {
+  Flag reached, go_on;
+  Server backend([&](const Server::Call& call) {
+    if (call.number == 0) reached.set(), go_on.await();
+    return ok("done");
+  });
+  Fleet fleet({backend.address()});
+  const std::string first = config_text("[]", fleet.discovery.address());
+  File file(replaced(first, "\"name\":\"view\",\"semantics\":\"repeatable\"",
+                     "\"name\":\"sight\",\"semantics\":\"repeatable\""));
+  Visitor visitor(fleet.node), other(fleet.node);
+  visitor.send(request("view"));
+  reached.await();
+  fleet.node.reload(file.path());
+  REQUIRE(fleet.node.figures().reloads == 1);
+  std::string sight = request("view");
+  CHECK(Visitor(fleet.node).ask(sight).status == 404);
+  CHECK(other.ask(replaced(sight, "/view/", "/sight/")).status == 200);
+  go_on.set();
+  Response r;
+  REQUIRE(visitor.receive(r) == Got::whole);
+  CHECK(r.status == 200);
+  const auto shown = fleet.node.figures().by_workload;
+  CHECK(shown.at("view").succeeded == 1);  // counts stay
+  CHECK(shown.at("sight").succeeded == 1);
+  file.write(first);
+  fleet.node.reload(file.path());
+  CHECK(other.ask(request("view")).status == 200);
+  CHECK(fleet.node.figures().by_workload.at("view").succeeded == 2);
+  // A reload while it drains changes nothing of that.
+  fleet.node.drain();
+  fleet.node.reload(file.path());
+  CHECK_FALSE(fleet.node.ready());
+  fleet.node.activate();
+  CHECK(fleet.node.ready());
+}
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <thread>
@@ -153,6 +156,29 @@
          workload("view", "repeatable") + "," + workload("order", "by_key") + "," + workload("pay", "once") +
          "]}}";
 }
+// A configuration's file, gone with this.
+class File {
+ public:
+  explicit File(const std::string& text) { write(text); }
+  ~File() { std::filesystem::remove(path_); }
+  void write(const std::string& text) { std::ofstream(path_) << text; }
+  const std::string& path() const { return path_; }
+
+ private:
+  static std::string fresh() {
+    static std::atomic<int> made{0};
+    return (std::filesystem::temp_directory_path() /
+            ("troutstage-" + std::to_string(::getpid()) + "-" + std::to_string(made++)))
+        .string();
+  }
+  const std::string path_ = fresh();
+};
+inline std::string replaced(std::string text, const std::string& what, const std::string& by) {
+  const std::size_t at = text.find(what);
+  REQUIRE(at != text.npos);
+  return text.replace(at, what.size(), by);
+}
+
 inline Config config(const std::string& known, const std::string& discovery, int descriptors = 1024) {
   return read_config(config_text(known, discovery, descriptors));
 }
