A successor on the passed socket takes over, and both processes keep one node's budgets

Seen in the tests: clients hung 10 s. Not the node: the stand-in backend had 64 threads and both processes' connections took more; it has more now.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -11,6 +11,8 @@
 struct Config {
   std::string name, listen, discovery;
   std::string mgmt;               // where operators call; empty: nowhere
+  int passed_socket = -1;         // the clients' listener that it was started with; -1: none
+  std::string scratch;            // a folder that another process of this node sees too
   std::string discovery_in_file;  // what the file itself says of it
   std::string known;  // the list as it was last had, in discovery's form
   std::size_t descriptors = 1024, memory_mb = 192;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -65,6 +65,13 @@
   net::parse_address(config.listen);
   net::parse_address(config.discovery);
   if (!config.mgmt.empty()) net::parse_address(config.mgmt), config.own_descriptors += ops::Door::kDescriptors;
+  if (const std::string passed = environment("RELAY_PASSED_SOCKET"); !passed.empty()) {
+    const std::int64_t fd = whole_number(passed, "RELAY_PASSED_SOCKET");
+    if (fd < 3 || fd > 1000000) throw Malformed("RELAY_PASSED_SOCKET is out of range");
+    config.passed_socket = static_cast<int>(fd);
+    config.scratch = environment("TMPDIR");
+    if (config.scratch.empty()) config.scratch = "/tmp";
+  }
   return config;
 }
 
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -1,73 +1,99 @@
 // What connections may take: so many descriptors in all, and some of them for each side; and so many bytes of
-// requests' bodies.
+// bodies. Another process of this node may have taken a part of it.
 #pragma once
 
+#include <array>
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
 
 namespace troutstage::net {
 
 enum class Side { clients, backends };
 
+// What one process has taken. It may lie in memory that both map.
+struct Taken {
+  std::atomic<std::int64_t> side[2]{}, bytes{0};
+};
+
+// What this process has taken, and the other where there is one. Each counts its own first and looks at the
+// other's then, so that of two that take the last place at the same moment at most one gets it.
+class Ledger {
+ public:
+  Ledger() : mine_(&own_) {}
+  Ledger(Taken* mine, const Taken* other) : mine_(mine), other_(other) {}
+  Taken& mine() { return *mine_; }
+  std::int64_t others(Side side) const { return paired_ ? other_->side[static_cast<int>(side)].load() : 0; }
+  std::int64_t others_bytes() const { return paired_ ? other_->bytes.load() : 0; }
+  // A dead process's counts stand for nothing.
+  void set_paired(bool paired) { paired_ = paired && other_ != nullptr; }
+
+ private:
+  Taken own_;
+  Taken* mine_;
+  const Taken* other_ = nullptr;
+  std::atomic<bool> paired_{false};
+};
+
 class Budget {
  public:
   enum class Took { yes, side_full, all_full };
-  Budget(std::size_t all, std::size_t most_clients, std::size_t most_backends)
-      : all_(all), most_{most_clients, most_backends} {}
+  Budget(std::size_t all, std::size_t most_clients, std::size_t most_backends, Ledger& ledger)
+      : all_(static_cast<std::int64_t>(all)), most_{static_cast<std::int64_t>(most_clients),
+                                                    static_cast<std::int64_t>(most_backends)},
+        ledger_(ledger) {}
   Took take(Side side) {
     std::lock_guard held(lock_);
     const auto s = static_cast<std::size_t>(side);
-    if (used_[s] >= most_[s]) return Took::side_full;
-    if (used_[0] + used_[1] >= all_) return Took::all_full;
-    ++used_[s];
-    return Took::yes;
-  }
-  void give_back(Side side) {
-    std::lock_guard held(lock_);
-    --used_[static_cast<std::size_t>(side)];
+    auto& mine = ledger_.mine().side;
+    ++mine[s];
+    const std::int64_t here = mine[s] + ledger_.others(side);
+    const std::int64_t there = mine[1 - s] + ledger_.others(static_cast<Side>(1 - s));
+    const Took took = here > most_[s] ? Took::side_full : here + there > all_ ? Took::all_full : Took::yes;
+    if (took != Took::yes) --mine[s];
+    return took;
   }
+  void give_back(Side side) { --ledger_.mine().side[static_cast<std::size_t>(side)]; }
 
  private:
   std::mutex lock_;
-  const std::size_t all_, most_[2];
-  std::size_t used_[2] = {0, 0};
+  const std::int64_t all_, most_[2];
+  Ledger& ledger_;
 };
 
 // Few bodies are large: counting each as the largest would leave a small node few clients.
 class Bytes {
  public:
-  explicit Bytes(std::size_t all) : left_(all) {}
+  Bytes(std::size_t all, Ledger& ledger) : all_(static_cast<std::int64_t>(all)), ledger_(ledger) {}
   // What one request holds of them, as long as it lives.
   class Hold {
    public:
     explicit Hold(Bytes& bytes) : bytes_(bytes) {}
-    ~Hold() { bytes_.give_back(held_); }
+    ~Hold() { bytes_.ledger_.mine().bytes -= held_; }
     Hold(const Hold&) = delete;
     Hold& operator=(const Hold&) = delete;
     bool take(std::size_t n) {
-      if (!bytes_.take(n)) return false;
-      held_ += n;
+      const auto more = static_cast<std::int64_t>(n);
+      if (!bytes_.take(more)) return false;
+      held_ += more;
       return true;
     }
 
    private:
     Bytes& bytes_;
-    std::size_t held_ = 0;
+    std::int64_t held_ = 0;
   };
 
  private:
-  bool take(std::size_t n) {
-    std::lock_guard held(lock_);
-    if (n > left_) return false;
-    left_ -= n;
-    return true;
+  bool take(std::int64_t n) {
+    auto& mine = ledger_.mine().bytes;
+    if ((mine += n) + ledger_.others_bytes() <= all_) return true;
+    mine -= n;
+    return false;
   }
-  void give_back(std::size_t n) {
-    std::lock_guard held(lock_);
-    left_ += n;
-  }
-  std::mutex lock_;
-  std::size_t left_;
+  const std::int64_t all_;
+  Ledger& ledger_;
 };
 
 }  // namespace troutstage::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -19,17 +19,38 @@
 // The front hears of a drain within some tenths of a second and sends new connections until then: what is
 // idle is let go after that, and long before it would count as held.
 constexpr std::chrono::milliseconds kFrontHears{1000};
+constexpr std::chrono::milliseconds kSlowestHead{2500};  // a client's that is served all the same
 constexpr std::size_t kOneIdleIn = 10;            // connections of a node that stops
 // Listener, watch, log, vigil and a few to spare.
-constexpr std::size_t kOwnDescriptors = 10;
+constexpr std::size_t kOwnDescriptors = 10, kForTwo = 4;
 
 // So many are kept for clients whose request can only be turned away, so that none is left waiting unread.
 std::size_t reserve(const Config& config) { return 8 + config.descriptors / 64; }
 
+// Where another process may run beside this one, what each needs for itself is set aside for both at all times.
 std::size_t budgeted(const Config& config) {
-  return config.descriptors - kOwnDescriptors - config.own_descriptors - reserve(config);
+  const std::size_t own = kOwnDescriptors + config.own_descriptors + reserve(config);
+  if (config.passed_socket < 0) return config.descriptors - own;
+  return std::max<std::size_t>(8, config.descriptors - std::min(config.descriptors, 2 * (own + kForTwo)));
 }
 
+// Where a successor can't reach discovery it serves with the list that it was started with.
+constexpr std::chrono::milliseconds kListWithin{3000};
+
+std::unique_ptr<Sibling> sibling_of(Config& config) {
+  if (config.passed_socket < 0) return nullptr;
+  auto sibling = std::make_unique<Sibling>(config.scratch, config.name);
+  // All processes of this node together send cold backends what one may.
+  if (sibling->is_successor()) config.settings.cold_share = 0.5;
+  return sibling;
+}
+
+Fd listener_of(const Config& config) {
+  const sockaddr_in address = parse_address(config.listen);
+  return config.passed_socket < 0 ? listen_on(address) : inherited_listener(config.passed_socket, address);
+}
+
+
 // Neither side gets more than two thirds. One that is worked for takes the touched part of two stacks and its
 // buffers beside its bodies: so many must fit into half of the memory, and all bodies of requests into a
 // quarter.
@@ -67,18 +88,19 @@
 Moment SteadyClock::at(Tenths when) const { return start_ + std::chrono::microseconds((when - kDay) * 100); }
 
 Node::Node(Config config)
-    : config_(std::move(config)), balancer_(config_.settings, clock_), directory_(config_.names, clock_.wall_offset()),
-      budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2),
-      bytes_(config_.memory_mb * 1024 * 1024 / 4),
+    : config_(std::move(config)), sibling_(sibling_of(config_)), balancer_(config_.settings, clock_), directory_(config_.names, clock_.wall_offset()),
+      budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2,
+              sibling_ ? sibling_->ledger() : alone_),
+      bytes_(config_.memory_mb * 1024 * 1024 / 4, sibling_ ? sibling_->ledger() : alone_),
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
-      listener_(listen_on(parse_address(config_.listen))), reserve_(reserve(config_)),
+      listener_(listener_of(config_)), reserve_(reserve(config_)),
       lobby_([this](std::shared_ptr<Client> client) { work_for(std::move(client)); }, most_waiting(config_)),
       workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(6) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
                                    known.version, [this] { stage_.came_up(); });
-  if (!known.entries.empty()) stage_.came_up();
+  if (!known.entries.empty() && !(sibling_ && sibling_->is_successor())) stage_.came_up();
   balancer_.told(ListForm::cached, std::move(known.entries));
   std::vector<Index> like;
   terms_ = settle(config_.settings, config_.names, settings_, like);
@@ -105,6 +127,13 @@
       changed_.wait_for(held, kLook, [this] { return over_budget_ < reserve_; });
       if (over_budget_ >= reserve_) continue;
     }
+    // A successor takes what is queued, and a process that takes over accepts nothing before it can serve.
+    if (hands_over_) break;
+    if (sibling_ && stage_.is() == core::Stage::Is::starting) {
+      std::unique_lock held(lock_);
+      changed_.wait_for(held, std::chrono::milliseconds(10));
+      continue;
+    }
     // Once this node accepts no more, those that the system has taken for it already are still served.
     const bool last = leaving_;
     if (!last && wait_readable(listener_.get(), Moment::clock::now() + kLook) != Io::done) continue;
@@ -189,16 +218,17 @@
 // Nobody can open another connection to a node that stops. Once a client found all of them busy, none was
 // used any more, and all requests were without a node; so a few are kept idle.
 bool Node::short_of_connections() {
-  return stage_.is() == core::Stage::Is::stopping && lobby_.waiting(Lobby::Wait::next) < came_back_ / kOneIdleIn;
+  return stage_.is() == core::Stage::Is::stopping && !hands_over_ && lobby_.waiting(Lobby::Wait::next) < came_back_ / kOneIdleIn;
 }
 
 void Node::housekeep() {
   std::unique_lock held(lock_);
   while (!stopped_) {
-    changed_.wait_for(held, std::chrono::milliseconds(250), [this] { return stopped_; });
+    changed_.wait_for(held, sibling_ ? kLook : 5 * kLook, [this] { return stopped_; });
     held.unlock();
     pool_.retire();
     let_idle_go();
+    if (sibling_) heed_sibling();
     held.lock();
   }
 }
@@ -238,6 +268,7 @@
 // stay.
 void Node::reload(const std::string& path) {
   try {
+    std::lock_guard settles(settling_);
     Config fresh = read_config(read_file(path));
     check_complete(config_, fresh);
     const bool moves = fresh.discovery_in_file != config_.discovery_in_file;
@@ -246,6 +277,7 @@
     fresh.settings.zone = config_.settings.zone;
     fresh.settings.tick = config_.settings.tick;
     fresh.settings.fall_window = config_.settings.fall_window;
+    fresh.settings.cold_share = config_.settings.cold_share;
     std::shared_ptr<const Settings> all;
     std::vector<Index> like;
     auto terms = settle(fresh.settings, fresh.names, all, like);
@@ -303,6 +335,27 @@
   lobby_.close_idle(false);
 }
 
+// What is shared while there are two processes, and theirs alone once there is one.
+void Node::heed_sibling() {
+  const bool paired = sibling_->other_lives();
+  if (sibling_->is_successor() && Moment::clock::now() - begun_ > kListWithin && stage_.is() == core::Stage::Is::starting)
+    stage_.came_up();
+  // The successor may lack what idle connections of this process hold.
+  if (hands_over_) pool_.retire(5 * kLook);
+  std::lock_guard settles(settling_);
+  const double share = paired ? 0.5 : 1;
+  if (config_.settings.cold_share == share) return;
+  log::info("the other process of this node has {}", paired ? "come" : "gone");
+  config_.settings.cold_share = share;
+  auto now = std::make_shared<Settings>(*settings());
+  now->cold_share = share;
+  std::vector<Index> like;
+  for (Index n = 0; n < now->workloads.size(); ++n) like.push_back(n);
+  balancer_.settle(now, std::move(like));
+  std::lock_guard held(lock_);
+  settings_ = now;
+}
+
 Figures Node::figures() {
   Figures f;
   for (const auto& [name, answers] : counters_.answers.all())
@@ -323,16 +376,21 @@
   const Moment told = Moment::clock::now();
   const bool has_end = how.answering.count() >= 0;
   if (has_end) answer_by_ = clock_.now() + how.answering.count() * 10;
+  hands_over_ = sibling_ && sibling_->other_lives();
+  if (hands_over_) log::info("a successor takes what comes");
   std::unique_lock held(lock_);
-  changed_.wait_until(held, told + how.accepting, [] { return false; });
+  // A successor has its clients' next connections, so each is let go at its next answer, and an idle one after
+  // a while in which most have asked.
+  if (hands_over_) changed_.wait_until(held, told + kFrontHears, [this] { return open_ == 0; });
+  else changed_.wait_until(held, told + how.accepting, [] { return false; });
   // Clients use the connections that they have for as long as these stay open, and may know no other node:
   // closed at once, two nodes that were stopped one after the other left all requests without one.
-  changed_.wait_until(held, told + how.keeping, [this] { return open_ == 0; });
+  if (!hands_over_) changed_.wait_until(held, told + how.keeping, [this] { return open_ == 0; });
   leaving_ = true;
   while (open_ > 0 || !accept_over_) {
     held.unlock();
     lobby_.close_idle(has_end && Moment::clock::now() > told + how.answering);
-    end_slow_ones();
+    if (!hands_over_ || Moment::clock::now() > told + kSlowestHead) end_slow_ones();
     held.lock();
     changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_ == 0 && accept_over_; });
   }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -12,6 +12,7 @@
 #include "net/directory.h"
 #include "net/lobby.h"
 #include "net/pool.h"
+#include "net/sibling.h"
 #include "net/terms.h"
 #include "net/threads.h"
 #include "net/transactions.h"
@@ -82,8 +83,11 @@
   std::shared_ptr<const Terms> terms() const;
   std::shared_ptr<const Terms> settle(Settings fresh, const Names& names, std::shared_ptr<const Settings>& all,
                                       std::vector<Index>& like);
-  bool lets_go() const { return leaving_ || stage_.is() == core::Stage::Is::draining; }
+  bool lets_go() const {
+    return leaving_ || hands_over_ || stage_.is() == core::Stage::Is::draining;
+  }
   void let_idle_go();
+  void heed_sibling();
   void accept_all();
   void take(Fd fd);
   void work_for(std::shared_ptr<Client> client);
@@ -97,7 +101,10 @@
   Config config_;  // as it was last accepted
   core::Lanes lanes_;
   core::Stage stage_;
+  std::unique_ptr<Sibling> sibling_;  // where its listener was passed to it
+  Ledger alone_;
   const SteadyClock clock_;
+  const Moment begun_ = Moment::clock::now();
   core::Balancer balancer_;
   Counters counters_;
   std::shared_ptr<const Terms> terms_;  // guarded by lock_
@@ -116,6 +123,8 @@
   std::set<Reading*> reading_;
   std::size_t open_ = 0, over_budget_ = 0;  // clients' connections, and those of them that have no place
   bool stopped_ = false, accept_over_ = true;
+  std::mutex settling_;  // over the settings of the module and how they come about
+  std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
   std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
   Moment drained_since_;              // guarded by lock_
   std::atomic<Tenths> answer_by_{INT64_MAX};
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -61,10 +61,12 @@
   idle_[life].push_back({address, Moment::clock::now(), std::move(connection)});
 }
 
-void Pool::retire() {
+void Pool::retire() { retire(idle_limit_); }
+
+void Pool::retire(std::chrono::steady_clock::duration idle) {
   std::deque<Idle> old;  // closed after the lock is free
   std::lock_guard held(lock_);
-  const Moment before = Moment::clock::now() - idle_limit_;
+  const Moment before = Moment::clock::now() - idle;
   for (auto at = idle_.begin(); at != idle_.end();) {
     std::deque<Idle>& all = at->second;
     while (!all.empty() && all.front().since <= before) {
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -43,6 +43,7 @@
   void give_back(std::uint64_t life, std::uint64_t address, Connection connection);
   bool shed();    // closes the one that has been idle the longest; false: none is
   void retire();  // closes what has been idle for too long
+  void retire(std::chrono::steady_clock::duration idle);  // for longer than that
 
  private:
   struct Idle {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -76,6 +76,23 @@
   return fd;
 }
 
+Fd inherited_listener(int fd, const sockaddr_in& address) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0)
+    throw Malformed("descriptor " + std::to_string(fd) + " is no listening socket");
+  sockaddr_in there{};
+  size = sizeof there;
+  if (::getsockname(fd, reinterpret_cast<sockaddr*>(&there), &size) != 0 || there.sin_family != AF_INET ||
+      there.sin_port != address.sin_port || there.sin_addr.s_addr != address.sin_addr.s_addr)
+    throw Malformed("descriptor " + std::to_string(fd) + " listens on " + address_text(there) + ", not on " +
+                    address_text(address));
+  // Two accept on it: one may find that the other was quicker, and must not wait then.
+  if (::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0 || ::fcntl(fd, F_SETFL, O_NONBLOCK) != 0)
+    throw std::system_error(errno, std::generic_category(), "can't use descriptor " + std::to_string(fd));
+  return Fd(fd);
+}
+
 Io connect_to(int fd, const sockaddr_in& address, Moment limit) {
   // The socket blocks but for this one call, which the system would let last for minutes.
   const int flags = ::fcntl(fd, F_GETFL);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -36,6 +36,8 @@
 std::string address_text(const sockaddr_in& address);
 
 Fd listen_on(const sockaddr_in& address);  // throws std::system_error
+// A listener that this process was started with. Throws Malformed where it is none, or listens elsewhere.
+Fd inherited_listener(int fd, const sockaddr_in& address);
 Fd new_socket();  // with no delay of small writes; empty where there is none to be had
 
 enum class Io { done, ended, broken, late };  // ended: the other side closes
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,8 +1,5 @@
-#include <spawn.h>
 #include <sys/resource.h>
-#include <sys/wait.h>
 
-#include <cstdlib>
 #include <set>
 
 #include "net/exchange.h"
@@ -14,7 +11,8 @@
 
 struct OneExchange {
   Counters counters;
-  Budget budget{4, 4, 4};
+  Ledger ledger;
+  Budget budget{4, 4, 4, ledger};
   Pool pool{budget, std::chrono::seconds(9), milliseconds(0)};
   std::shared_ptr<Exchange> exchange = fresh();
   std::shared_ptr<Exchange> fresh() { return std::make_shared<Exchange>(pool, counters, milliseconds(250)); }
@@ -103,7 +101,8 @@
   }
   CHECK(closing.connections() == 2);
 
-  Budget budget(1, 1, 1);
+  Ledger ledger;
+  Budget budget(1, 1, 1, ledger);
   Pool pool(budget, std::chrono::seconds(0), milliseconds(0));
   {
     auto held = pool.fresh();
@@ -122,7 +121,8 @@
   REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
   const Fd here(ends[0]), there(ends[1]);
   for (const auto settle : {std::chrono::seconds(0), std::chrono::seconds(5)}) {
-    Budget budget(4, 4, 4);
+    Ledger ledger;
+    Budget budget(4, 4, 4, ledger);
     Pool pool(budget, std::chrono::seconds(9), settle);
     auto connection = pool.fresh();
     REQUIRE(connection);
@@ -139,7 +139,8 @@
     ::shutdown(call.fd, SHUT_WR);  // after the answer below there is an end
     return std::string();
   });
-  Budget budget(4, 4, 4);
+  Ledger ledger;
+  Budget budget(4, 4, 4, ledger);
   Pool pool(budget, std::chrono::seconds(9), milliseconds(0));
   auto connection = pool.fresh();
   REQUIRE(connection);
@@ -561,27 +562,20 @@
   });
   const std::string listen = closed_port();
   File file(config_text(list(80, true, {}), before.address(), 1024, listen));
-  const std::string variable = "RELAY_DISCOVERY=" + before.address();
-  const char* arguments[] = {TROUTSTAGE_PROGRAM, "serve", "--config", file.path().c_str(), nullptr};
-  const char* variables[] = {variable.c_str(), nullptr};
-  pid_t program = 0;
-  REQUIRE(::posix_spawn(&program, TROUTSTAGE_PROGRAM, nullptr, nullptr, const_cast<char**>(arguments),
-                        const_cast<char**>(variables)) == 0);
+  Program program(file, {"RELAY_DISCOVERY=" + before.address()});
   old_asked.await();
   file.write("{\"name\":");  // can't be used: the old one stays
-  REQUIRE(::kill(program, SIGHUP) == 0);
+  program.signal(SIGHUP);
   Visitor visitor(listen);
   while (visitor.ask("GET /counters HTTP/1.1\r\n\r\n").body.find("reloads_failed 1\n") == std::string::npos)
     std::this_thread::yield();
   file.write(config_text("[]", after.address(), 1024, listen));
-  REQUIRE(::kill(program, SIGHUP) == 0);
+  program.signal(SIGHUP);
   old_ended.await();
   new_told.await();
   CHECK(visitor.ask(request("view")).status == 200);
-  REQUIRE(::kill(program, SIGTERM) == 0);
-  int status = -1;
-  REQUIRE(::waitpid(program, &status, 0) == program);
-  CHECK(status == 0);
+  program.signal(SIGTERM);
+  CHECK(program.exit_code() == 0);
   CHECK(asked ==
         std::vector<std::string>{"GET /discovery/hosts HTTP/1.1\r\nHost: " + after.address() + "\r\n\r\n",
                                  "GET /discovery/hosts?index=3"});
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -1,7 +1,10 @@
 // What the tests of the network code share: stand-ins in this process, on ports that the system gives.
 #pragma once
 
+#include <signal.h>
+#include <spawn.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -112,7 +115,7 @@
   Fd listener_;
   std::atomic<bool> stop_{false};
   std::atomic<int> calls_{0}, connections_{0};
-  Threads threads_{64};
+  Threads threads_{512};
 };
 
 inline std::string ok(const std::string& body) {
@@ -173,6 +176,37 @@
   }
   const std::string path_ = fresh();
 };
+// The program itself, serving a configuration. A listener may be passed to it as descriptor 4.
+class Program {
+ public:
+  Program(const File& file, std::vector<std::string> variables, int passed = -1) {
+    if (passed >= 0) variables.push_back("RELAY_PASSED_SOCKET=4");
+    std::vector<char*> environment;
+    for (std::string& variable : variables) environment.push_back(variable.data());
+    environment.push_back(nullptr);
+    std::string path = file.path(), serve = "serve", option = "--config", name = TROUTSTAGE_PROGRAM;
+    char* arguments[] = {name.data(), serve.data(), option.data(), path.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    if (passed >= 0) ::posix_spawn_file_actions_adddup2(&actions, passed, 4);
+    const int spawned = ::posix_spawn(&id_, name.c_str(), &actions, nullptr, arguments, environment.data());
+    ::posix_spawn_file_actions_destroy(&actions);
+    REQUIRE(spawned == 0);
+  }
+  ~Program() {
+    if (id_ > 0) signal(SIGKILL), exit_code();
+  }
+  void signal(int what) { REQUIRE(::kill(id_, what) == 0); }
+  int exit_code() {  // -1: it was killed
+    int status = -1;
+    REQUIRE(::waitpid(std::exchange(id_, 0), &status, 0) > 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  pid_t id_ = 0;
+};
+
 inline std::string replaced(std::string text, const std::string& what, const std::string& by) {
   const std::size_t at = text.find(what);
   REQUIRE(at != text.npos);
