Bodies over the memory limit flow both ways through bounded buffers

Change: net::Body reads any framing piece by piece; a request is kept up to 256 KiB and flows beyond (client.cpp, exchange.cpp), an answer flows after 64 KiB (Client::pass_on); the module is told of both by Arrival.flows and HandOffEnded.spent. A body has to come at 32 kB/s after 2.7 s, with no pause over 2 s. Found by a test: a chunk's size line with a bare LF waited for its limit instead of being refused at once (Reader::read_line).

--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -21,6 +21,7 @@
   Tenths valid_until = 0;
   double hint = 0;  // expected work in tenths of a millisecond; 0: not told
   bool client_repeat = false;
+  bool flows = false;  // its body is still coming
   std::shared_ptr<const void> lease;  // on the workload's number, to the invocation's end
 };
 
@@ -54,7 +55,12 @@
   using Urgent = std::function<bool(const Step&)>;
   void busy(const Ticket& ticket, Urgent urgent);
   // How a hand-off ended: once for each that pick() gave out, also when it was recalled meanwhile.
-  void report(const Ticket& ticket, int number, Ending ending);
+  struct Sent {
+    Tenths took = -1;    // since it was sent whole; -1: since it was handed out
+    bool spent = false;  // of the invocation's body nothing is left that could be sent again
+  };
+  void report(const Ticket& ticket, int number, Ending ending, const Sent& sent);
+  void report(const Ticket& ticket, int number, Ending ending) { report(ticket, number, ending, Sent{}); }
   void client_gone(const Ticket& ticket);
   bool answered(const Ticket& ticket);  // its last step stands, and nothing goes out any more
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -119,6 +119,7 @@
   bool streaming = false;
   bool hinted = false;
   bool repeat = false;
+  bool flows = false, spent = false;  // its body: still coming, and gone
   bool waiting = false;  // held with nothing out, for a place at a backend
   Index workload = 0;
   Tenths arrived = 0, valid_until = 0;
@@ -247,6 +248,7 @@
     v.valid_until = a.valid_until;
     v.repeat = a.client_repeat;
     v.most = max_hand_offs_;
+    v.flows = a.flows;
     v.hinted = a.hint > 0;
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
@@ -266,6 +268,7 @@
     const bool never =
         e.ending == Ending::turned_away || e.ending == Ending::unreachable || e.ending == Ending::never_sent;
     h.ran = never ? Ran::never : Ran::maybe;
+    v.spent = v.spent || e.spent;
     --total_out_;
     // What ended without an answer before one would be slow tells nothing of how full a backend is, and a
     // time-out nothing of its health either: held against a fleet that was well, the short limits of some
@@ -369,7 +372,7 @@
   // Rule 2: whether this invocation may be handed to this backend, given what became of it so far.
   bool may_repeat_at(const Invocation& v, const Backend& b) const {
     const Workload& w = workloads_[v.workload];
-    if (v.out > 0 && !second_copies_) return false;
+    if (v.spent || (v.out > 0 && (v.flows || !second_copies_))) return false;  // no body left for it
     for (const HandOff& h : v.hand_offs) {
       if (h.ran == Ran::in_flight && &backends_[h.backend] == &b) return false;  // a copy goes elsewhere
       if (h.ran == Ran::never || w.semantics == Semantics::redoable) continue;
@@ -456,7 +459,7 @@
   // ending it costs no work, and where a time-out stops it a huge one no longer holds up its backend.
   Tenths worth_until(const Invocation& v) const {
     const Workload& w = workloads_[v.workload];
-    return w.overdue_share > 0 || w.semantics != Semantics::irreversible
+    return v.flows || w.overdue_share > 0 || w.semantics != Semantics::irreversible
                ? v.valid_until
                : std::min(v.valid_until, v.arrived + w.due_time);
   }
@@ -496,7 +499,7 @@
     ++b.held;
     if (warmth(b) < 1) b.cold_sent.add(now_, weighed(v)), b.drawn = false;
     actions_.push_back({Do::hand_off, i, to, 0, worth_until(v) - margin_});
-    if (!second_copies_ || v.out != 1) return;
+    if (!second_copies_ || v.flows || v.out != 1) return;
     const double long_for_it = kLong * usual_[v.workload] * size_of(v);
     at(v.copy_at = now_ + (doubtful(b) ? slow_after(v) * 2 / 3 : static_cast<Tenths>(long_for_it)), i);
   }
@@ -770,7 +773,7 @@
     // With nothing out no ending would serve it: it would only be held up.
     const bool idle = total_out_ == 0 && !running_.empty();
     const bool late = until <= now_ || now_ + margin_ >= v.valid_until;
-    if (idle || v.repeat || beyond_hope(v) || late || !may_reject(v)) return answer(i);
+    if (idle || v.repeat || v.spent || beyond_hope(v) || late || !may_reject(v)) return answer(i);
     v.waiting = true;
     waiting_.push_back(i);
     at(until, i);
--- a/src/decide.h
+++ b/src/decide.h
@@ -93,6 +93,7 @@
   Tenths valid_until = 0;
   double hint = 0;  // expected work in tenths of a millisecond; 0: not told
   bool client_repeat = false;
+  bool flows = false;  // its body is still coming: only one hand-off can carry it on
 };
 struct HandOffEnded {
   Index invocation = kNone;
@@ -101,6 +102,7 @@
   bool final = false;  // the invocation is finished
   Tenths took = 0;
   double utilization = -1;  // of the backend, where it reports it
+  bool spent = false;       // of its body nothing is left that could be sent again
 };
 struct AnswerStarted {
   Index invocation = kNone;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -7,15 +7,16 @@
 #include <deque>
 
 #include "log/log.h"
-#include "net/exchange.h"
 
 namespace troutstage::net {
 namespace {
 
 // From its first byte to its last; the first one from the connecting on, which is when a client's patience
 // with an answer to what can't be read begins.
-constexpr std::chrono::milliseconds kSlowestRequest{2500};
-constexpr std::chrono::seconds kSlowestReader{2};
+constexpr std::chrono::milliseconds kSlowestHead{2500}, kSlowestBody{2700};
+constexpr std::chrono::milliseconds kPieceWithin{2000};  // of a body, whatever came before
+constexpr std::chrono::seconds kSlowestReader{5};        // takes a piece of an answer
+constexpr std::chrono::seconds kNextPiece{5};            // of an answer that goes on, from its backend
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr std::string_view kText = "text/plain";
@@ -40,6 +41,8 @@
   const std::shared_ptr<const Terms> terms;  // those that it came under, to its end
   Offer offer;
   Request request;
+  Flow flow;           // where its body is not whole
+  bool flows = false;  // the same
   std::optional<Transactions::Open> open;
   core::Ticket ticket;
   // By number. The client's thread changes it, and while that is busy whoever has the balancer's lock.
@@ -72,23 +75,34 @@
 std::optional<Lobby::Wait> Client::serve_one() {
   const auto work = std::make_shared<Work>(node_);
   BadRequest bad;
-  std::optional<Request> request;
   {
     Node::Reading reading(node_, fd_.get());
     const Moment begun = std::exchange(first_, false) ? connected_ : Moment::clock::now();
-    request = read_request(in_, begun + kSlowestRequest, bad,
-                           [&](std::size_t size) { return work->bytes.take(size); });
-    lasts_ = !reading.was_ended() && has_place_;
+    auto request = read_request(in_, begun + kSlowestHead, bad);
+    if (!request) return refuse(bad);
+    work->request = std::move(*request);
+    Request& r = work->request;
+    if (!own(r) && !wanted(*work, bad)) return refuse(bad);
+    // It comes as fast as is promised, or its sender is let go.
+    const auto limit = [&] {
+      const auto earned = std::chrono::milliseconds(static_cast<std::int64_t>(r.body.size()) * 2 / kSlowestPerMs);
+      return std::min(Moment::clock::now() + kPieceWithin, begun + kSlowestBody + earned);
+    };
+    if (!read_body(in_, r, bad, limit, [&](std::size_t size) { return work->bytes.take(size); })) {
+      if (bad.cause == Bad::no_room && work->offer.answers) ++work->offer.answers->rejected;
+      return refuse(bad);
+    }
+    work->flows = !r.rest.whole();
+    lasts_ = !reading.was_ended() && has_place_ && !work->flows;
   }
-  if (!request) return refuse(bad);
   // A connection carries one request at a time: what is sent ahead of an answer is no usual client's.
-  if (in_.holds_bytes()) return refuse({400, Bad::ahead});
-  work->request = std::move(*request);
+  if (!work->flows && in_.holds_bytes()) return refuse({400, Bad::ahead});
   if (answer(work, node_.clock_.now())) {
     in_.shrink();
     if (++answered_ == 2) ++node_.came_back_;
     return answered_ >= 2 ? Lobby::Wait::next : Lobby::Wait::once;
   }
+  if (resets_) return std::nullopt;
   // What is still unread would turn the closing into a reset, and that could overtake the answer.
   ::shutdown(fd_.get(), SHUT_WR);
   return Lobby::Wait::end;
@@ -118,6 +132,26 @@
   return some > 0 && thrown_away_ < kMostThrownAway;
 }
 
+bool Client::own(const Request& request) {
+  return request.target == kReadyPath || request.target == kCountersPath;
+}
+
+// Whether it is what a usual client sends: the method follows from what a repeat would do.
+bool Client::wanted(Work& work, BadRequest& bad) {
+  const Request& request = work.request;
+  const auto refused = [&](int status, Bad cause) { return bad = {status, cause}, false; };
+  const auto workload = work.terms->workloads.find(request.workload);
+  if (workload == work.terms->workloads.end()) return refused(404, Bad::no_workload);
+  work.offer = workload->second;
+  const Semantics semantics = work.offer.semantics;
+  const bool reads = semantics == Semantics::redoable;
+  if (request.method != (reads ? "GET" : "POST")) return refused(405, Bad::wrong_method);
+  if (reads && !request.rest.whole()) return refused(400, Bad::body_of_get);
+  if (request.remaining_ms < 0) return refused(400, Bad::no_limit);
+  if (semantics == Semantics::labelled && !request.labelled) return refused(400, Bad::no_label);
+  return true;
+}
+
 // Answers a request; false: the connection is over.
 bool Client::answer(const std::shared_ptr<Work>& work, Tenths arrived) {
   const Request& request = work->request;
@@ -125,16 +159,6 @@
   if (request.target == kReadyPath)
     return node_.ready() ? reply(200, "up\n", keep) : reply(503, "not up\n", keep);
   if (request.target == kCountersPath) return reply(200, node_.counters_.text(), keep);
-  const auto workload = work->terms->workloads.find(request.workload);
-  if (workload == work->terms->workloads.end()) return refuse({404, Bad::no_workload}), false;
-  work->offer = workload->second;
-  // Only what a usual client sends is handed off: the method follows from what a repeat would do.
-  const Semantics semantics = work->offer.semantics;
-  const bool reads = semantics == Semantics::redoable;
-  if (request.method != (reads ? "GET" : "POST")) return refuse({405, Bad::wrong_method}), false;
-  if (reads && !request.body.empty()) return refuse({400, Bad::body_of_get}), false;
-  if (request.remaining_ms < 0) return refuse({400, Bad::no_limit}), false;
-  if (semantics == Semantics::labelled && !request.labelled) return refuse({400, Bad::no_label}), false;
   if (!has_place_) {  // nothing was handed off
     ++work->offer.answers->rejected;
     return refuse({503, Bad::no_room}), false;
@@ -156,7 +180,21 @@
   demand.lease = work->offer.lane.lease;
   const auto tenant = work->terms->tenants.find(request.tenant);
   if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
-  demand.valid_until = std::min(arrived + request.remaining_ms * 10, node_.answer_by_.load());
+  demand.valid_until = arrived + request.remaining_ms * 10;
+  if (work->flows) {
+    ++node_.counters_.bodies_flowed;
+    // Its client's time runs from its last byte, which may be as long in coming as is promised.
+    const auto left = static_cast<std::int64_t>(
+        request.rest.framing() == Framing::length ? request.rest.left() : kLongestBody);
+    demand.valid_until += (left / kSlowestPerMs + kPieceWithin.count()) * 10;
+    demand.flows = true;
+    work->flow.rest = &work->request.rest;
+    work->flow.remaining_ms = request.remaining_ms - 20;
+    work->flow.next = [this, mine = work.get()](std::string& piece) {
+      return mine->request.rest.next(in_, Moment::clock::now() + kPieceWithin, piece);
+    };
+  }
+  demand.valid_until = std::min(demand.valid_until, node_.answer_by_.load());
   demand.hint = request.hint_micros / 100;
   demand.client_repeat = request.client_repeat;
   const bool wants_more = request.keep_alive && lasts_;
@@ -194,8 +232,10 @@
   if (step.what == core::Next::gone) return ++node_.counters_.client_gone, false;
   if (step.what == core::Next::succeeded) {
     ++node_.counters_.succeeded;
+    Exchange& exchange = *work.exchanges.at(static_cast<std::size_t>(step.number));
+    if (!exchange.rest().whole()) return pass_on(work, exchange, keep);
+    const Response& r = exchange.answer();
     ++work.offer.answers->succeeded;
-    const Response& r = work.exchanges.at(static_cast<std::size_t>(step.number))->answer();
     return write(response_head(200, r.content_type, r.body.size(), keep), r.body) && keep;
   }
   if (step.what == core::Next::give_up) {
@@ -210,6 +250,36 @@
   return reply(503, "rejected\n", keep, step.retry_in > 0 ? retry : "");
 }
 
+// An answer too long to keep goes out as it comes. No time limit cuts it, only a side that does not go on; where
+// it breaks its client can tell that it is not whole.
+bool Client::pass_on(const Work& work, Exchange& exchange, bool keep) {
+  const Response& r = exchange.answer();
+  const bool has_length = exchange.rest().framing() == Framing::length;
+  const bool in_chunks = !has_length && !work.request.old_version;
+  keep = keep && (has_length || in_chunks);
+  ++node_.counters_.answers_flowed;
+  std::string head = has_length ? response_head(200, r.content_type, r.body.size() + exchange.rest().left(), keep)
+                                : streamed_head(r.content_type, in_chunks, keep);
+  const auto framed = [&](std::string_view piece) {
+    return in_chunks ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : std::string(piece);
+  };
+  bool whole = write(std::move(head), framed(r.body));
+  for (std::string piece; whole && !exchange.rest().whole(); piece.clear()) {
+    whole = exchange.next(Moment::clock::now() + kNextPiece, piece) == Got::whole &&
+            (piece.empty() || write("", framed(piece)));
+  }
+  if (whole && in_chunks) whole = write("", "0\r\n\r\n");
+  exchange.finish();
+  ++(whole ? work.offer.answers->succeeded : work.offer.answers->given_up);
+  if (whole) return keep;
+  ++node_.counters_.answers_cut;
+  // With no length and no chunks its end is the connection's: only a reset tells a break from that.
+  const linger at_once{1, 0};
+  resets_ = !has_length && !in_chunks;
+  if (resets_) ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  return false;
+}
+
 // A hand-off is run by the client's own thread: to wake another for each one, and to be woken by that, took
 // so much of the processor time that a node with all the load of two was at its share. What comes up
 // meanwhile is done by whoever brings it up, a second copy in a thread of its own.
@@ -234,7 +304,13 @@
 
 void Client::over(Node& node, const Work& work, int number, Ended ended) {
   node.counters_.count(ended);
-  node.balancer_.report(work.ticket, number, outcome(ended));
+  core::Balancer::Sent sent;
+  if (work.flows) {  // how long its client took to send it tells nothing of the backend
+    const auto since = Moment::clock::now() - work.flow.sent;
+    sent.spent = work.flow.begun;
+    sent.took = work.flow.sent == Moment() ? 0 : std::chrono::duration_cast<std::chrono::microseconds>(since).count() / 100;
+  }
+  node.balancer_.report(work.ticket, number, outcome(ended), sent);
 }
 
 // What a hand-off does; nothing where it can't be.
@@ -249,7 +325,7 @@
     return [=, &node, number = step.number, until = node.clock_.at(step.until)] {
       Ended ended = Ended::cut_after_sent;  // where it broke is not known then, so it may have run
       try {
-        ended = exchange->run(work->request, *target, until);
+        ended = exchange->run(work->request, *target, until, work->flows ? &work->flow : nullptr);
       } catch (const std::exception& broke) {
         log::error("exchange: {}", broke.what());
       }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "net/exchange.h"
 #include "net/http.h"
 #include "net/node.h"
 
@@ -24,7 +25,10 @@
 
   std::optional<Lobby::Wait> serve_one();
   std::optional<Lobby::Wait> refuse(const BadRequest& bad);
+  bool own(const Request& request);
+  bool wanted(Work& work, BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
+  bool pass_on(const Work& work, Exchange& exchange, bool keep);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived);
   bool end(const Work& work, const core::Step& step, bool keep);
   static void recall(const Work& work, int number);
@@ -42,6 +46,7 @@
   std::size_t answered_ = 0;  // requests
   bool rejected_ = false;     // its last request was
   bool lasts_ = true;         // false: this request is the last one
+  bool resets_ = false;       // its last answer broke where only a reset shows it
   const bool has_place_;      // else its one request is turned away
   std::size_t thrown_away_ = 0;
 };
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -51,6 +51,9 @@
   line("turned_off_full", turned_off_full);
   line("turned_off_stopping", turned_off_stopping);
   line("answers_unread", answers_unread);
+  line("answers_cut", answers_cut);
+  line("bodies_flowed", bodies_flowed);
+  line("answers_flowed", answers_flowed);
   line("watches", watches);
   line("watches_failed", watches_failed);
   line("reloads", reloads);
--- a/src/net/ending.h
+++ b/src/net/ending.h
@@ -21,13 +21,14 @@
   answer_malformed,  // what came is no HTTP, or is longer than any answer
   answer_stalled,    // it had begun and did not go on, on a connection that stays open
   timed_out,         // nothing came while this node waited
+  source_broke,      // what the client still had to send of its body did not come
   recalled_unsent,   // recalled before the last byte was written
   recalled,          // recalled after that
 };
-inline constexpr std::array<std::string_view, 13> kEndedNames = {
+inline constexpr std::array<std::string_view, 14> kEndedNames = {
     "answered",        "answered_error",  "turned_away", "no_room",          "not_connected",
     "cut_before_sent", "cut_after_sent",  "answer_cut",  "answer_malformed", "answer_stalled",
-    "timed_out",       "recalled_unsent", "recalled"};
+    "timed_out",       "source_broke",    "recalled_unsent", "recalled"};
 
 // Told as never run is only what is proven so: the last byte was not written, or the backend says it.
 inline Ending outcome(Ended ended) {
@@ -44,6 +45,7 @@
     case Ended::timed_out: return Ending::timed_out;
     case Ended::recalled: return Ending::recalled;
     case Ended::no_room:
+    case Ended::source_broke:
     case Ended::recalled_unsent: return Ending::never_sent;
   }
   return Ending::broken;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -13,32 +13,39 @@
 
 }  // namespace
 
-Ended Exchange::run(const Request& request, const Target& target, Moment until) {
-  const Ended ended = over(request, target, until);
+Ended Exchange::run(const Request& request, const Target& target, Moment until, Flow* flow) {
+  const Ended ended = over(request, target, until, flow);
+  if (ended != Ended::answered || rest_.whole()) finish();
   if (!shutter_.is_shut() || ended == Ended::answered) return ended;
   // A shutdown looks like a broken connection. Whether the last byte had gone is known all the same.
-  const bool unsent =
-      ended == Ended::not_connected || ended == Ended::cut_before_sent || ended == Ended::recalled_unsent;
+  const bool unsent = ended == Ended::not_connected || ended == Ended::cut_before_sent ||
+                      ended == Ended::recalled_unsent || ended == Ended::source_broke;
   return unsent ? Ended::recalled_unsent : ended == Ended::no_room ? ended : Ended::recalled;
 }
 
-Ended Exchange::over(const Request& request, const Target& target, Moment until) {
-  const std::uint64_t address = number_of(target.address);
-  std::optional<Pool::Connection> connection = pool_.idle(target.life, address);
-  const bool open = connection.has_value();
+Ended Exchange::over(const Request& request, const Target& target, Moment until, Flow* flow) {
+  target_ = target;
+  connection_ = pool_.idle(target.life, number_of(target.address));
+  const bool open = connection_.has_value();
   if (!open) {
     auto fresh = pool_.fresh();
     if (!fresh) return Ended::no_room;
-    connection.emplace(std::move(*fresh));
+    connection_.emplace(std::move(*fresh));
   }
-  bool use_again = false;
-  const Ended ended = talk(connection->fd(), open, request, target, until, use_again);
-  if (use_again) pool_.give_back(target.life, address, std::move(*connection));
-  return ended;
+  return talk(open, request, target, until, flow);
 }
 
-Ended Exchange::talk(int fd, bool open, const Request& request, const Target& target, Moment until,
-                     bool& use_again) {
+// Bytes beyond the answer belong to nothing that was asked for: such a connection is not used again.
+void Exchange::finish() {
+  if (connection_ && in_ && read_ && rest_.whole() && answer_.keep_alive && !in_->holds_bytes() &&
+      !shutter_.is_shut())
+    pool_.give_back(target_.life, number_of(target_.address), std::move(*connection_));
+  connection_.reset();
+  in_.reset();
+}
+
+Ended Exchange::talk(bool open, const Request& request, const Target& target, Moment until, Flow* flow) {
+  const int fd = connection_->fd();
   const Shutter::Hold hold(shutter_, fd);
   if (shutter_.is_shut()) return Ended::recalled_unsent;
   if (!open) {
@@ -47,24 +54,65 @@
     ++counters_.connections_opened;
   }
   const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(until - Moment::clock::now()).count();
+      flow != nullptr
+          ? flow->remaining_ms
+          : std::chrono::duration_cast<std::chrono::milliseconds>(until - Moment::clock::now()).count();
   // Before the last byte is written it has never run, after that it may have: nothing here sends it again.
+  const std::string_view kept = request.body;
+  const bool chunks = flow != nullptr && flow->rest->framing() == Framing::chunked;
   if (left <= 0 || shutter_.is_shut() ||
-      write_both(fd, request_head(request, left), request.body, until) != Io::done)
+      (chunks ? write_all(fd, request_head(request, left) + body_piece(*flow->rest, kept), until)
+              : write_both(fd, request_head(request, left), kept, until)) != Io::done)
     return Ended::cut_before_sent;
+  in_.emplace(fd, kStall);
+  if (flow != nullptr) {
+    Ended ended = Ended::cut_before_sent;
+    if (!send_rest(fd, *flow, until, ended)) return ended;
+    until = std::min(until, flow->sent + std::chrono::milliseconds(flow->remaining_ms));
+  }
   ++counters_.written;
-  Reader in(fd, kStall);
-  switch (read_response(in, until, answer_)) {
-    case Got::whole: break;
-    case Got::nothing: return Ended::cut_after_sent;
-    case Got::cut: return Ended::answer_cut;
-    case Got::late: return Ended::timed_out;
-    case Got::stalled: return Ended::answer_stalled;
-    case Got::malformed:
-    case Got::too_large: return Ended::answer_malformed;
+  return read_answer(until);
+}
+
+// False: it did not go out whole.
+bool Exchange::send_rest(int fd, Flow& flow, Moment until, Ended& ended) {
+  for (std::string piece; !flow.rest->whole(); piece.clear()) {
+    flow.begun = true;
+    if (flow.next(piece) != Got::whole) return ended = Ended::source_broke, false;
+    if (shutter_.is_shut() || write_all(fd, body_piece(*flow.rest, piece), until) != Io::done) return false;
+    // An answer before all was sent: the backend wants no more of it, and has not begun.
+    if (!flow.rest->whole() && holds_bytes(fd)) {
+      if (read_answer(until) == Ended::turned_away) ended = Ended::turned_away;
+      answer_.keep_alive = false;
+      return false;
+    }
   }
-  // Bytes beyond the answer belong to nothing that was asked for: such a connection is not used again.
-  use_again = answer_.keep_alive && !in.holds_bytes() && !shutter_.is_shut();
+  flow.sent = Moment::clock::now();
+  return true;
+}
+
+Ended Exchange::read_answer(Moment until) {
+  const auto how = [](Got got) {
+    switch (got) {
+      case Got::whole: return Ended::answered;
+      case Got::nothing: return Ended::cut_after_sent;
+      case Got::cut: return Ended::answer_cut;
+      case Got::late: return Ended::timed_out;
+      case Got::stalled: return Ended::answer_stalled;
+      case Got::malformed:
+      case Got::too_large: break;
+    }
+    return Ended::answer_malformed;
+  };
+  Got got = read_answer_head(*in_, until, answer_, rest_, kLongestBody);
+  // A long answer goes on to its client as it comes; it is kept no longer than it takes to know it for one.
+  const bool is_long = rest_.framing() == Framing::length && rest_.left() > kMostBody;
+  while (got == Got::whole && !rest_.whole() &&
+         !(answer_.status == 200 && answer_.body.size() > (is_long ? 0 : kMostBody)) &&
+         answer_.body.size() <= kMostBody)
+    got = rest_.next(*in_, until, answer_.body);
+  if (got != Got::whole) return how(got);
+  read_ = true;
   if (answer_.turned_away) return Ended::turned_away;
   return answer_.status == 200 ? Ended::answered : Ended::answered_error;
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -1,6 +1,7 @@
 // One hand-off on the wire: a request goes to one backend, and what becomes of it is one value of Ended.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -16,24 +17,44 @@
   sockaddr_in address{};
 };
 
+// The part of a request's body that is not kept: taken from its client as the backend takes it.
+struct Flow {
+  std::function<Got(std::string& piece)> next;
+  const Body* rest = nullptr;
+  std::int64_t remaining_ms = 0;  // that its client waits once it has sent all
+  bool begun = false;             // some of it has been taken, so it can't be sent again
+  Moment sent;                    // when all of it was
+};
+
 class Exchange {
  public:
   Exchange(Pool& pool, Counters& counters, std::chrono::steady_clock::duration connect_limit)
       : pool_(pool), counters_(counters), connect_limit_(connect_limit) {}
   // Blocks till it is over, at `until` at the latest.
-  Ended run(const Request& request, const Target& target, Moment until);
+  Ended run(const Request& request, const Target& target, Moment until, Flow* flow = nullptr);
   // Ends run() from another thread.
   void recall() { shutter_.shut(); }
   const Response& answer() const { return answer_; }  // after run()
+  // An answered one may go on: its body so far is in answer(), and what else there is comes from here.
+  const Body& rest() const { return rest_; }
+  Got next(Moment limit, std::string& piece) { return rest_.next(*in_, limit, piece); }
+  void finish();  // it came whole: the connection may be used again
 
  private:
-  Ended over(const Request& request, const Target& target, Moment until);
-  Ended talk(int fd, bool open, const Request& request, const Target& target, Moment until, bool& use_again);
+  Ended over(const Request& request, const Target& target, Moment until, Flow* flow);
+  Ended talk(bool open, const Request& request, const Target& target, Moment until, Flow* flow);
+  bool send_rest(int fd, Flow& flow, Moment until, Ended& ended);
+  Ended read_answer(Moment until);
 
   Pool& pool_;
   Counters& counters_;
   const std::chrono::steady_clock::duration connect_limit_;
   Response answer_;
+  Body rest_;
+  std::optional<Pool::Connection> connection_;  // while it may be used again, or its answer goes on
+  std::optional<Reader> in_;
+  Target target_;
+  bool read_ = false;  // its answer, as far as that goes
   Shutter shutter_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -27,7 +27,8 @@
 // Headers that belong to this connection, or that the node writes itself.
 bool goes_on(std::string_view name) {
   constexpr std::string_view kStay[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Upgrade",
-                                        "TE",         "Trailer",    "Expect",           kRemaining};
+                                        "TE",         "Trailer",    "Expect",           kRemaining,
+                                        "Transfer-Encoding"};
   return std::none_of(std::begin(kStay), std::end(kStay), [&](auto stay) { return same_word(name, stay); });
 }
 
@@ -125,7 +126,7 @@
   return false;
 }
 
-std::optional<Head> parse_head(std::string_view bytes) {
+std::optional<Head> parse_head(std::string_view bytes, Kind kind) {
   Head head;
   std::size_t end = bytes.find(kLineEnd);
   if (end == std::string_view::npos) return std::nullopt;
@@ -141,6 +142,11 @@
     if (end == std::string_view::npos) return std::nullopt;
     if (end == from) return head;
     const std::string_view line = bytes.substr(from, end - from);
+    // An answer's folded field is none that this node reads.
+    if (kind == Kind::response && !head.headers.empty() && (line[0] == ' ' || line[0] == '\t')) {
+      from = end + 2;
+      continue;
+    }
     const std::size_t colon = line.find(':');
     // A folded line, a blank before the colon and a bare line end are read in different ways by different
     // programs; a request could be smuggled in them.
@@ -197,7 +203,7 @@
     const std::size_t end = buffer_.find(kBlankLine, looked);
     if (end != std::string::npos) {
       used_ = end + kBlankLine.size();
-      auto parsed = parse_head(std::string_view(buffer_).substr(0, used_));
+      auto parsed = parse_head(std::string_view(buffer_).substr(0, used_), kind);
       if (!parsed) return Got::malformed;
       head = std::move(*parsed);
       return Got::whole;
@@ -209,27 +215,26 @@
   }
 }
 
-Got Reader::read_body(Moment limit, std::size_t size, std::string& body) {
-  buffer_.erase(0, std::exchange(used_, 0));
-  buffer_.reserve(size);
-  const Got got = more(limit, size);
-  if (got != Got::whole) return got == Got::nothing ? Got::cut : got;
-  if (buffer_.size() == size && body.empty()) {
-    body = std::exchange(buffer_, {});  // a large buffer is not kept while nothing comes
-  } else {
-    body.append(buffer_, 0, size);
-    buffer_.erase(0, size);
-  }
+Got Reader::take(Moment limit, std::size_t most, std::string& into) {
+  drop_head();
+  if (buffer_.empty())
+    if (const Got got = some(limit, true); got != Got::whole) return got;
+  const std::size_t n = std::min(most, buffer_.size());
+  into.append(buffer_, 0, n);
+  buffer_.erase(0, n);
   return Got::whole;
 }
 
 Got Reader::read_line(Moment limit, std::string& line) {
+  drop_head();
   for (;;) {
-    const std::size_t end = buffer_.find(kLineEnd);
+    // What another program takes for a line's end may hide a request.
+    const std::size_t end = buffer_.find('\n');
     if (end != std::string::npos) {
-      line = buffer_.substr(0, end);
-      buffer_.erase(0, end + 2);
-      return Got::whole;
+      if (end == 0 || buffer_[end - 1] != '\r') return Got::malformed;
+      line = buffer_.substr(0, end - 1);
+      buffer_.erase(0, end + 1);
+      return is_text(line) ? Got::whole : Got::malformed;
     }
     if (buffer_.size() > kMostHead) return Got::malformed;
     if (const Got got = more(limit, buffer_.size() + 1); got != Got::whole)
@@ -237,41 +242,46 @@
   }
 }
 
-Got Reader::read_chunks(Moment limit, std::size_t most, std::string& body) {
-  buffer_.erase(0, std::exchange(used_, 0));
-  for (std::string line;;) {
-    if (const Got got = read_line(limit, line); got != Got::whole) return got;
-    std::size_t size = 0;
-    const std::string_view digits = trimmed(std::string_view(line).substr(0, line.find(';')));
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
-    if (error != std::errc() || end != digits.data() + digits.size()) return Got::malformed;
-    if (size > most || body.size() + size > most) return Got::too_large;
-    if (size > 0) {
-      if (const Got got = read_body(limit, size, body); got != Got::whole) return got;
-      if (const Got got = read_line(limit, line); got != Got::whole) return got;
-      if (!line.empty()) return Got::malformed;
-      continue;
-    }
-    for (std::size_t trailers = 0; trailers < 64; ++trailers) {
-      if (const Got got = read_line(limit, line); got != Got::whole) return got;
-      if (line.empty()) return Got::whole;
-    }
-    return Got::malformed;
+// Before a chunk's bytes: the end of the one before, the next one's size; after the last one the trailers.
+Got Body::next_chunk(Reader& in, Moment limit) {
+  std::string line;
+  if (std::exchange(in_chunks_, true)) {
+    if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
+    if (!line.empty()) return Got::malformed;
   }
+  if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
+  const std::string_view digits = trimmed(std::string_view(line).substr(0, line.find(';')));
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, 16);
+  if (error != std::errc() || end != digits.data() + digits.size()) return Got::malformed;
+  if (left_ > most_ || taken_ + left_ > most_) return Got::too_large;
+  if (left_ > 0) return Got::whole;
+  for (std::size_t trailers = 0; trailers < 64; ++trailers) {
+    if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
+    if (line.empty()) return whole_ = true, Got::whole;
+  }
+  return Got::malformed;
 }
 
-Got Reader::read_to_end(Moment limit, std::size_t most, std::string& body) {
-  buffer_.erase(0, std::exchange(used_, 0));
-  for (;;) {
-    if (buffer_.size() > most) return Got::too_large;
-    const Got got = some(limit, true);
-    if (got == Got::nothing) return body = std::exchange(buffer_, {}), Got::whole;
-    if (got != Got::whole) return got;
+Got Body::next(Reader& in, Moment limit, std::string& into) {
+  if (whole_) return Got::whole;
+  Got got = Got::whole;
+  if (framing_ == Framing::chunked && left_ == 0) {
+    got = next_chunk(in, limit);
+    if (got == Got::nothing) got = Got::cut;
+    if (got != Got::whole || whole_) return got;
   }
+  const std::size_t before = into.size();
+  got = in.take(limit, framing_ == Framing::to_end ? most_ + 1 : left_, into);
+  if (got == Got::nothing && framing_ == Framing::to_end) return whole_ = true, Got::whole;
+  if (got != Got::whole) return got == Got::nothing ? Got::cut : got;
+  taken_ += into.size() - before;
+  if (framing_ == Framing::to_end) return taken_ > most_ ? Got::too_large : Got::whole;
+  left_ -= into.size() - before;
+  whole_ = framing_ == Framing::length && left_ == 0;
+  return Got::whole;
 }
 
-std::optional<Request> read_request(Reader& in, Moment limit, BadRequest& bad,
-                                    const std::function<bool(std::size_t)>& room) {
+std::optional<Request> read_request(Reader& in, Moment limit, BadRequest& bad) {
   const auto refuse = [&](int status, Bad cause) {
     bad = {status, cause};
     return std::nullopt;
@@ -291,23 +301,33 @@
   r.target = head.first[1];
   const auto visible = [](char c) { return c > ' ' && c < 127; };
   if (!is_token(r.method) || (head.first[2] != "HTTP/1.1" && head.first[2] != "HTTP/1.0") ||
-      !r.target.starts_with('/') || !std::all_of(r.target.begin(), r.target.end(), visible))
+      !std::all_of(r.target.begin(), r.target.end(), visible))
     return refuse(400, Bad::malformed);
+  // What names its server whole is the same request, and goes on without that.
+  if (const std::string_view path = path_of(r.target); !path.starts_with('/'))
+    return refuse(400, Bad::malformed);
+  else
+    r.target.erase(0, static_cast<std::size_t>(path.data() - r.target.data()));
+  r.old_version = head.first[2] == "HTTP/1.0";
+  r.expects_word = !r.old_version && head.lists("Expect", "100-continue");
   r.keep_alive = head.first[2] == "HTTP/1.1" && !head.lists("Connection", "close");
   // Two lengths, or a length beside chunks, may be read differently behind this node: a second request could
   // hide in the difference.
   const std::size_t lengths = head.count("Content-Length");
   if (lengths > 1 || (lengths > 0 && head.count("Transfer-Encoding") > 0))
     return refuse(400, Bad::two_lengths);
-  if (head.count("Transfer-Encoding") > 0) return refuse(411, Bad::no_length);
+  const bool chunked = head.count("Transfer-Encoding") > 0;
+  if (chunked && (head.count("Transfer-Encoding") > 1 || r.old_version ||
+                  !same_word(head.value("Transfer-Encoding"), "chunked")))
+    return refuse(400, Bad::wrong_field);
   if (r.method != "GET" && r.method != "POST") return refuse(405, Bad::wrong_method);
-  if (lengths == 0 && r.method == "POST") return refuse(411, Bad::no_length);
-  std::size_t length = 0;
+  if (lengths == 0 && !chunked && r.method == "POST") return refuse(411, Bad::no_length);
+  if (chunked) r.rest = Body(Framing::chunked, 0, kLongestBody);
   if (lengths > 0) {
     const auto told = parse_digits(head.value("Content-Length"));
     if (!told) return refuse(400, Bad::wrong_field);
-    if (*told > static_cast<std::int64_t>(kMostBody)) return refuse(413, Bad::too_large);
-    length = static_cast<std::size_t>(*told);
+    if (*told > static_cast<std::int64_t>(kLongestBody)) return refuse(413, Bad::too_large);
+    r.rest = Body(Framing::length, static_cast<std::size_t>(*told), kLongestBody);
   }
   const bool own = r.target == kReadyPath || r.target == kCountersPath;
   if (!own) {
@@ -317,25 +337,58 @@
     for (const Header& h : head.headers)
       if (goes_on(h.name)) r.kept += h.line;
   }
-  if (length == 0) return r;
-  if (room && !room(length)) return refuse(503, Bad::no_room);
+  return r;
+}
+
+bool read_body(Reader& in, Request& r, BadRequest& bad, const std::function<Moment()>& limit,
+               const std::function<bool(std::size_t)>& room) {
+  const auto refuse = [&](int status, Bad cause) { return bad = {status, cause}, false; };
+  if (r.rest.whole()) return true;
+  const bool short_one = r.rest.framing() == Framing::length && r.rest.left() <= kMostKept;
+  constexpr std::size_t kStep = 16 * 1024;
+  if (short_one && room(r.rest.left())) r.body.reserve(r.rest.left());
+  else if (short_one || !room(kStep)) return refuse(503, Bad::no_room);
   // The client may wait for a word before it sends the body.
-  if (head.lists("Expect", "100-continue") && !in.holds_bytes() &&
-      !in.reply("HTTP/1.1 100 Continue\r\n\r\n", limit))
+  if (r.expects_word && !in.holds_bytes() && !in.reply("HTTP/1.1 100 Continue\r\n\r\n", limit()))
     return refuse(0, Bad::cut);
-  switch (in.read_body(limit, length, r.body)) {
-    case Got::whole: return r;
-    case Got::late: return refuse(408, Bad::slow);
-    default: return refuse(0, Bad::cut);
+  for (std::size_t kept = kStep; !r.rest.whole();) {
+    switch (r.rest.next(in, limit(), r.body)) {
+      case Got::whole: break;
+      case Got::stalled:
+      case Got::late: return refuse(408, Bad::slow);
+      case Got::malformed: return refuse(400, Bad::malformed);
+      case Got::too_large: return refuse(413, Bad::too_large);
+      default: return refuse(0, Bad::cut);
+    }
+    if (short_one || r.rest.whole()) continue;
+    if (r.body.size() >= kMostKept) return true;
+    // A piece is shorter than a step.
+    while (kept < r.body.size() + kStep / 2) {
+      if (!room(kStep)) return true;
+      kept += kStep;
+    }
   }
+  return true;
 }
 
 std::string request_head(const Request& r, std::int64_t remaining_ms) {
-  return fmt::format("{} {} HTTP/1.1\r\n{}{}: {}\r\n\r\n", r.method, r.target, r.kept, kRemaining,
+  // One that came in chunks and is here whole has a length.
+  const std::string framing = r.rest.framing() != Framing::chunked ? ""
+                              : r.rest.whole() ? fmt::format("Content-Length: {}\r\n", r.body.size())
+                                               : "Transfer-Encoding: chunked\r\n";
+  return fmt::format("{} {} HTTP/1.1\r\n{}{}{}: {}\r\n\r\n", r.method, r.target, r.kept, framing, kRemaining,
                      remaining_ms);
 }
 
-Got read_response(Reader& in, Moment limit, Response& r, std::size_t most) {
+std::string body_piece(const Body& rest, std::string_view piece) {
+  if (rest.framing() != Framing::chunked) return std::string(piece);
+  std::string out;
+  if (!piece.empty()) out = fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+  if (rest.whole()) out += "0\r\n\r\n";
+  return out;
+}
+
+Got read_answer_head(Reader& in, Moment limit, Response& r, Body& body, std::size_t most) {
   Head head;
   for (int interim = 0;; ++interim) {
     const Got got = in.read_head(limit, head, Kind::response);
@@ -351,20 +404,29 @@
   r.turned_away = (r.status == 503 || r.status == 504) && head.value(kTurnedAway) == "1";
   r.keep_alive = head.first[0] == "HTTP/1.1" && !head.lists("Connection", "close");
   r.content_type = head.value("Content-Type");
+  body = Body();
   if (r.status == 204 || r.status == 304) return Got::whole;
   const std::size_t lengths = head.count("Content-Length");
   if (head.count("Transfer-Encoding") > 0) {
     if (lengths > 0 || !head.lists("Transfer-Encoding", "chunked")) return Got::malformed;
-    return in.read_chunks(limit, most, r.body);
+    return body = Body(Framing::chunked, 0, most), Got::whole;
   }
   if (lengths == 0) {
     r.keep_alive = false;
-    return in.read_to_end(limit, most, r.body);
+    return body = Body(Framing::to_end, 0, most), Got::whole;
   }
   const auto length = parse_digits(head.value("Content-Length"));
   if (lengths > 1 || !length) return Got::malformed;
   if (*length > static_cast<std::int64_t>(most)) return Got::too_large;
-  return in.read_body(limit, static_cast<std::size_t>(*length), r.body);
+  return body = Body(Framing::length, static_cast<std::size_t>(*length), most), Got::whole;
+}
+
+Got read_response(Reader& in, Moment limit, Response& r, std::size_t most) {
+  Body body;
+  if (const Got got = read_answer_head(in, limit, r, body, most); got != Got::whole) return got;
+  while (!body.whole())
+    if (const Got got = body.next(in, limit, r.body); got != Got::whole) return got;
+  return Got::whole;
 }
 
 std::string response_head(int status, std::string_view content_type, std::size_t size, bool keep_alive,
@@ -375,4 +437,10 @@
                      keep_alive ? "" : "Connection: close\r\n", size);
 }
 
+std::string streamed_head(std::string_view content_type, bool chunked, bool keep_alive) {
+  return fmt::format("HTTP/1.1 200 OK\r\n{}{}{}{}{}\r\n", content_type.empty() ? "" : "Content-Type: ", content_type,
+                     content_type.empty() ? "" : kLineEnd, keep_alive ? "" : "Connection: close\r\n",
+                     chunked ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
 }  // namespace troutstage::net
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -32,7 +32,7 @@
 bool may_become_head(std::string_view bytes, std::size_t looked, Kind kind);
 std::string_view path_of(std::string_view target);  // without query, and without scheme and authority
 bool same_word(std::string_view a, std::string_view b);           // but for upper and lower case
-std::optional<Head> parse_head(std::string_view bytes);           // nothing: malformed
+std::optional<Head> parse_head(std::string_view bytes, Kind kind = Kind::request);  // nothing: malformed
 std::optional<std::int64_t> parse_digits(std::string_view text);  // nothing but digits, and not too many
 std::string_view trimmed(std::string_view text);
 
@@ -55,20 +55,41 @@
   void shrink() { buffer_ = {}, used_ = 0; }                   // nothing is kept while nothing comes
   bool reply(std::string_view bytes, Moment limit) { return write_all(fd_, bytes, limit) == Io::done; }
   Got read_head(Moment limit, Head& head, Kind kind);  // the views hold until the next call
-  Got read_body(Moment limit, std::size_t size, std::string& body);
-  Got read_chunks(Moment limit, std::size_t most, std::string& body);
-  Got read_to_end(Moment limit, std::size_t most, std::string& body);
+  Got take(Moment limit, std::size_t most, std::string& into);  // appends what there is, a byte at the least
+  Got read_line(Moment limit, std::string& line);
 
  private:
   Got more(Moment limit, std::size_t need, bool begun = true);
   Got some(Moment limit, bool begun);
-  Got read_line(Moment limit, std::string& line);
+  void drop_head() { buffer_.erase(0, std::exchange(used_, 0)); }
   int fd_;
   std::chrono::milliseconds stall_;
   std::string buffer_;
   std::size_t used_ = 0;  // bytes of the buffer that the last head took
 };
 
+enum class Framing { none, length, chunked, to_end };
+
+// A message's body, taken in pieces as they come, however it is framed.
+class Body {
+ public:
+  Body() = default;
+  Body(Framing framing, std::size_t length, std::size_t most)
+      : framing_(framing), left_(length), most_(most),
+        whole_(framing == Framing::none || (framing == Framing::length && length == 0)) {}
+  Framing framing() const { return framing_; }
+  std::size_t left() const { return left_; }  // by its length, or of the chunk that is read
+  bool whole() const { return whole_; }
+  // Appends what there is; nothing where that was the end of it.
+  Got next(Reader& in, Moment limit, std::string& into);
+
+ private:
+  Got next_chunk(Reader& in, Moment limit);
+  Framing framing_ = Framing::none;
+  std::size_t left_ = 0, most_ = 0, taken_ = 0;
+  bool whole_ = true, in_chunks_ = false;
+};
+
 struct Request {
   std::string method, target;
   std::string kept;  // header lines that go on as they came
@@ -78,6 +99,8 @@
   std::int64_t remaining_ms = -1;  // -1: not told
   double hint_micros = 0;
   bool labelled = false, client_repeat = false, keep_alive = true;
+  bool expects_word = false, old_version = false;  // waits for 100; speaks HTTP/1.0
+  Body rest;                                       // what has not been read of its body
 };
 // What can be wrong with a request; none: its connection just closed.
 enum class Bad {
@@ -106,19 +129,25 @@
   int status = 0;  // 0: there is nobody to tell
   Bad cause = Bad::none;
 };
-// A request, or what is wrong with it. Nothing is guessed: what could be read in two ways is refused. `room`
-// is asked whether there is any for a body of that size.
-std::optional<Request> read_request(Reader& in, Moment limit, BadRequest& bad,
-                                    const std::function<bool(std::size_t)>& room = {});
+// A request's head, or what is wrong with it. Nothing is guessed: what could be read in two ways is refused.
+std::optional<Request> read_request(Reader& in, Moment limit, BadRequest& bad);
+// Goes on with its body until it is whole, or as much is kept as `room` gives for it: the rest then flows. False:
+// it can't be read.
+bool read_body(Reader& in, Request& request, BadRequest& bad, const std::function<Moment()>& limit,
+               const std::function<bool(std::size_t)>& room);
+// Whether the rest of its body is to follow, as framed by body_piece().
 std::string request_head(const Request& request, std::int64_t remaining_ms);
+std::string body_piece(const Body& rest, std::string_view piece);
 
 struct Response {
   int status = 0;
   bool turned_away = false, keep_alive = true;
   std::string content_type, body;
 };
-Got read_response(Reader& in, Moment limit, Response& response, std::size_t most = kMostBody);
+Got read_answer_head(Reader& in, Moment limit, Response& response, Body& body, std::size_t most);
+Got read_response(Reader& in, Moment limit, Response& response, std::size_t most = kMostBody);  // all of it
 std::string response_head(int status, std::string_view content_type, std::size_t size, bool keep_alive,
                           std::string_view more_headers = "");
+std::string streamed_head(std::string_view content_type, bool chunked, bool keep_alive);  // of a 200
 
 }  // namespace troutstage::net
--- a/src/net/protocol.h
+++ b/src/net/protocol.h
@@ -18,7 +18,10 @@
 inline constexpr std::string_view kReadyPath = "/up";
 inline constexpr std::string_view kCountersPath = "/counters";
 
-inline constexpr std::size_t kMostBody = 64 * 1024;
+inline constexpr std::size_t kMostBody = 64 * 1024;         // an answer's that is kept until it is whole
+inline constexpr std::size_t kMostKept = 256 * 1024;        // a request's that can be handed off again
+inline constexpr std::size_t kLongestBody = 32 * 1024 * 1024;  // of any
+inline constexpr std::int64_t kSlowestPerMs = 64;           // bytes that a client sends at the least
 inline constexpr std::size_t kMostHead = 16 * 1024;
 inline constexpr int kMostInterim = 8;  // 1xx heads before an answer
 
