While two processes share the places no new connection ends one that has yet to ask

Cause read in the code, not traced in the bad run: the limit on clients' connections was held for the sum of both processes, so a successor could find no place while the old one held its own, and Node::find_place then closed the connection that had come just before, unheard.

--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -48,9 +48,11 @@
     const auto s = static_cast<std::size_t>(side);
     auto& mine = ledger_.mine().side;
     ++mine[s];
-    const std::int64_t here = mine[s] + ledger_.others(side);
-    const std::int64_t there = mine[1 - s] + ledger_.others(static_cast<Side>(1 - s));
-    const Took took = here > most_[s] ? Took::side_full : here + there > all_ ? Took::all_full : Took::yes;
+    // The sum is kept for both processes. How it is shared between the sides each keeps for itself: counted for
+    // both, the clients of one that ends had the other turn its own away.
+    const std::int64_t sum =
+        mine[0] + mine[1] + ledger_.others(Side::clients) + ledger_.others(Side::backends);
+    const Took took = mine[s] > most_[s] ? Took::side_full : sum > all_ ? Took::all_full : Took::yes;
     if (took != Took::yes) --mine[s];
     return took;
   }
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -101,9 +101,10 @@
 
 // One that was told its last answer, else one that asked only once, else the one that has been idle the
 // longest, else one that has said nothing yet: its request may be on the way.
-bool Lobby::make_room() {
+bool Lobby::make_room(bool but_new) {
   std::lock_guard held(lock_);
   for (const Wait wait : {Wait::end, Wait::once, Wait::next, Wait::first}) {
+    if (but_new && wait == Wait::first) continue;
     for (auto at = all_.begin(); at != all_.end(); ++at) {
       if (at->second.wait != wait || (wait != Wait::end && holds_bytes(at->second.client->fd()))) continue;
       leave(at);
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -31,7 +31,8 @@
   void run();  // until stop()
   void stop();
   void enter(std::shared_ptr<Client> client, Wait wait);
-  bool make_room();  // closes the one that is the least loss; false: there is none
+  // Closes the one that is the least loss; false: there is none. `but_new`: not one that has said nothing yet.
+  bool make_room(bool but_new = false);
   std::size_t waiting(Wait wait);
   void close_idle(bool all);  // else not those that are being told their last answer
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -100,6 +100,7 @@
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
                                    known.version, [this] { stage_.came_up(); });
+  paired_ = sibling_ && sibling_->is_successor();
   if (!known.entries.empty() && !(sibling_ && sibling_->is_successor())) stage_.came_up();
   balancer_.told(ListForm::cached, std::move(known.entries));
   std::vector<Index> like;
@@ -125,7 +126,11 @@
       // The reserve is in use: accept must not be the call that finds no descriptor.
       std::unique_lock held(lock_);
       changed_.wait_for(held, kLook, [this] { return over_budget_ < reserve_; });
-      if (over_budget_ >= reserve_) continue;
+      if (over_budget_ >= reserve_) {
+        held.unlock();
+        if (paired_) lobby_.make_room(true);
+        continue;
+      }
     }
     // A successor takes what is queued, and a process that takes over accepts nothing before it can serve.
     if (hands_over_) break;
@@ -181,7 +186,8 @@
     const Budget::Took took = budget_.take(Side::clients);
     if (took == Budget::Took::yes) return true;
     if (took == Budget::Took::all_full && pool_.shed()) continue;
-    if (lobby_.make_room()) continue;
+    // While two processes share the places each new connection would end the one before it unheard.
+    if (lobby_.make_room(paired_)) continue;
     if (!end_slow_ones()) return false;
     std::unique_lock held(lock_);
     changed_.wait_for(held, std::chrono::milliseconds(5));
@@ -341,7 +347,8 @@
   if (sibling_->is_successor() && Moment::clock::now() - begun_ > kListWithin && stage_.is() == core::Stage::Is::starting)
     stage_.came_up();
   // The successor may lack what idle connections of this process hold.
-  if (hands_over_) pool_.retire(5 * kLook);
+  paired_ = paired;
+  if (hands_over_) pool_.retire(kLook);
   std::lock_guard settles(settling_);
   const double share = paired ? 0.5 : 1;
   if (config_.settings.cold_share == share) return;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -124,6 +124,7 @@
   std::size_t open_ = 0, over_budget_ = 0;  // clients' connections, and those of them that have no place
   bool stopped_ = false, accept_over_ = true;
   std::mutex settling_;  // over the settings of the module and how they come about
+  std::atomic<bool> paired_{false};      // another process of this node is there
   std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
   std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
   Moment drained_since_;              // guarded by lock_
