--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -99,10 +99,9 @@
   Server silent(no_news);
   Operable it({silent.address()}, 34);  // ten clients' connections
   std::vector<std::unique_ptr<Visitor>> busy;
-  for (int i = 0; i < 10; ++i) {
-    busy.push_back(std::make_unique<Visitor>(it.node));
-    busy.back()->send(request("pay", "x", 60000));
-  }
+  for (int i = 0; i < 10; ++i) busy.push_back(std::make_unique<Visitor>(it.node));
+  while (it.node.counters().connections_taken < 10) std::this_thread::yield();
+  for (auto& visitor : busy) visitor->send(request("pay", "x", 60000));
   while (it.node.counters().taken < 10) std::this_thread::yield();
   CHECK(Visitor(it.node).ask(request("pay")).status == 503);
   const auto shown = it.shown();
