Tests of a full node: clients hold their places with half a request each

Ten silent ones were more than the node keeps (three), so the test's last form waited for ever; with whole requests a hand-off's descriptor could come before the last client's place.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -460,9 +460,13 @@
   Fleet fleet({silent.address()}, 34);  // ten clients' connections
   std::vector<std::unique_ptr<Visitor>> busy;
   // All have their places before the first hand-off takes a descriptor that a later one needs.
-  for (int i = 0; i < 10; ++i) busy.push_back(std::make_unique<Visitor>(fleet.node));
+  const std::string half = request("pay", "x", 60000);
+  for (int i = 0; i < 10; ++i) {  // half a request: one that says nothing may be let go again
+    busy.push_back(std::make_unique<Visitor>(fleet.node));
+    busy.back()->send(replaced(half.substr(0, half.size() - 1), "X-Txn: ", "X-Txn: n" + std::to_string(i)));
+  }
   while (fleet.node.counters().connections_taken < 10) std::this_thread::yield();
-  for (auto& visitor : busy) visitor->send(request("pay", "x", 60000));
+  for (auto& visitor : busy) visitor->send("x");
   while (fleet.node.counters().taken < 10) std::this_thread::yield();
   CHECK(Visitor(fleet.node).ask(request("pay")).body == "no_room\n");
   CHECK(fleet.node.counters().turned_off_full == 1);
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -99,9 +99,13 @@
   Server silent(no_news);
   Operable it({silent.address()}, 34);  // ten clients' connections
   std::vector<std::unique_ptr<Visitor>> busy;
-  for (int i = 0; i < 10; ++i) busy.push_back(std::make_unique<Visitor>(it.node));
+  const std::string half = request("pay", "x", 60000);
+  for (int i = 0; i < 10; ++i) {  // half a request: one that says nothing may be let go again
+    busy.push_back(std::make_unique<Visitor>(it.node));
+    busy.back()->send(replaced(half.substr(0, half.size() - 1), "X-Txn: ", "X-Txn: n" + std::to_string(i)));
+  }
   while (it.node.counters().connections_taken < 10) std::this_thread::yield();
-  for (auto& visitor : busy) visitor->send(request("pay", "x", 60000));
+  for (auto& visitor : busy) visitor->send("x");
   while (it.node.counters().taken < 10) std::this_thread::yield();
   CHECK(Visitor(it.node).ask(request("pay")).status == 503);
   const auto shown = it.shown();
