Probes' load reports make backends ready in place of limits learned from slow answers

Cause: learn_limit takes an answer over half of the due time for a sign of a queue, but here the work alone takes 64 to 210 ms at 0.68 of the speed, with a due time of 500 to 1200 ms: 10 to 15% of idle backends' answers count as slow and close limits that start at 2 in flight a node (first_limit_). What all nodes together have there is needed, and probes tell it: their reports were thrown away (wire.cpp), only their time was used. Change: the adapter hands on the report; a probed backend is ready while its wait by the fleet's pace is short (backlogs told), or while its cores are not all busy or it holds less than a learned room (else); ties of own counts go to the lesser told. One stream-carrying connection is not used up by a hand-off.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -68,7 +68,7 @@
     c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : 0, c.names);
     if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
     // The protocol on sockets has no probes.
-    c.settings.may_probe = false;
+    c.settings.may_probe = c.settings.probes_tell = false;
     return c;
   } catch (const Json::exception& broken) {
     throw Malformed(broken.what());
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -64,7 +64,7 @@
   // The answer is set first: what the module does on this ending comes too late to be another one.
   if (wins) seal(*ticket);
   try {
-    tell(held, HandOffEnded{ticket->index, number, ending, ticket->final, took, -1, sent.spent});
+    tell(held, HandOffEnded{ticket->index, number, ending, ticket->final, took, sent.spent});
   } catch (...) {  // whoever waits in pick() must not wait for ever
     if (!ticket->final) seal(*ticket), add_step(*ticket, {Next::give_up, 0, kNone, 0, 0});
     if (!wins) throw;
@@ -210,7 +210,7 @@
   v.final = true;
   std::erase_if(v.steps, [&](const Step& s) {
     if (s.what != Next::hand_off) return false;
-    unsent_.push_back({v.index, s.number, Ending::never_sent, true, 0, -1, false});
+    unsent_.push_back({v.index, s.number, Ending::never_sent, true, 0, false});
     return true;
   });
 }
@@ -220,7 +220,7 @@
   if (!v.urgent || (!hand_off && step.what != Next::recall)) return false;
   if (hand_off) v.handed_off.at(static_cast<std::size_t>(step.number)).picked = true;
   if (!v.urgent(step) && hand_off)
-    unsent_.push_back({v.index, step.number, Ending::never_sent, v.final, 0, -1, false});
+    unsent_.push_back({v.index, step.number, Ending::never_sent, v.final, 0, false});
   return true;
 }
 
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -80,6 +80,9 @@
   s.must_ask = pairs.text("discovery") == "on_request";
   s.may_recall = pairs.flag("bounds.cancel");
   s.may_probe = pairs.flag("bounds.probes");
+  s.probes_tell = s.may_probe && pairs.text_or("report.how", "silent") != "silent";
+  s.streams = pairs.count("bounds.streams-per-conn", "1");
+  if (s.streams < 1) throw Malformed("bounds.streams-per-conn is not over 0");
   s.second_copies = pairs.flag("bounds.second-copies");
   s.client_heeds_retry_in = pairs.flag("bounds.retry-after");
   s.max_retry_in = pairs.span("bounds.max-retry-after");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -69,6 +69,7 @@
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
 constexpr double kLong = 3;               // a copy goes out after so many times what is usual
+constexpr double kWait = 0.06, kBusy = 0.85;
 constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
 // How hand-offs ended lately.
@@ -93,7 +94,10 @@
   std::vector<Health> by_workload;  // the same, each by itself: one may hang where the others are well
   int probes_out = 0;
   Tenths probe_took = -1;                // what the last probe took; -1: not known
-  int idle = 0;                          // open connections of this node that nothing uses
+  double told = -1;                      // what it holds for its size, as the last probe told; -1: not told
+  Tenths told_at = 0;
+  double wait = 0;  // how long a new one would wait there
+  int idle = 0;                          // open connections of this node that could take a hand-off
   Tenths idle_until = 0;                 // when they close by themselves
   bool running = false, member = false;  // in the list; of those that this node keeps to
   Ring<16> done;                         // work this node got done here
@@ -110,6 +114,7 @@
   double work = 0;
   int out_before = 0;
   bool new_connection = false;
+  double told = -1;
   Ran ran = Ran::in_flight;
 };
 
@@ -167,6 +172,8 @@
     second_copies_ = s.second_copies;
     may_recall_ = s.may_recall;
     may_probe_ = s.may_probe;
+    probes_tell_ = s.probes_tell;
+    streams_ = s.streams;
     nodes_ = std::max(1, s.nodes);
     first_limit_ = kFirstTogether / nodes_;
     least_limit_ = kLeastTogether / nodes_;
@@ -212,7 +219,7 @@
       b.weight = e.weight;
       b.started_at = e.started_at;
     }
-    running_.clear();
+    running_.clear(), near_.clear();
     std::vector<Index> fresh;
     std::erase_if(members_, [this](Index n) { return backends_[n].told_to_stop; });
     top_weight_ = 0;
@@ -223,6 +230,7 @@
         continue;
       }
       running_.push_back(n);
+      if (b.zone == zone_) near_.push_back(n);
       if (!b.running) fresh.push_back(n);
       b.running = true;
       top_weight_ = std::max(top_weight_, b.weight);
@@ -276,6 +284,12 @@
     const bool lost = e.ending == Ending::unreachable || e.ending == Ending::broken;
     const bool slow = e.took > slow_after(v), timed_out = e.ending == Ending::timed_out;
     if (slow || !(timed_out || lost)) learn_limit(b, h, v, e);
+    if (probes_tell_ && h.told >= 0 && (e.ending == Ending::succeeded || timed_out)) {
+      const bool late = timed_out || e.took > workloads_[v.workload].due_time;
+      if (late && room_ > 1e8 && h.told > 0) room_ = h.told;
+      if (late && h.told > 0 && h.told <= room_) room_ *= 1 - kStep * (1 - kLateShare);
+      else if (h.told > room_ / 2) room_ *= 1 + kStep * kLateShare;
+    }
     if (slow || !timed_out) learn_health(b, v, e);
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
@@ -304,6 +318,19 @@
     Backend& b = backends_[e.backend];
     b.probes_out = 0;
     b.probe_took = e.succeeded ? e.took : workloads_[0].time_limit;
+    const double load = e.report.outstanding >= 0 ? e.report.outstanding : e.report.backlog;
+    b.told = load < 0 ? -1 : load / std::max(b.weight, 1e-3);
+    if (e.report.backlog > 0 && e.report.throughput > 0)
+      pace_ += (e.report.throughput / std::max(b.weight, 1e-3) / kSecond - pace_) / (pace_ > 0 ? 32 : 1);
+    b.wait = e.report.backlog > 0 && pace_ > 0 ? b.told / pace_ : 0;
+    if (e.report.utilization >= 0 && e.report.utilization < kBusy) b.told = 0;
+    b.told_at = now_;
+    if (e.report.backlog >= 0 && e.succeeded) {
+      const bool room = b.wait <= 2 * kWait * static_cast<double>(workloads_.back().due_time) && b.told <= room_;
+      const double dt = static_cast<double>(std::min(now_ - share_at_, kSecond)) / kSecond;
+      share_at_ = now_;
+      share_ = std::clamp(share_ * (room ? 1 + kStep * dt * 4 : 1 - kStep * dt * 4), 0.02, 1.0);
+    }
     if (e.succeeded) usual_probe_ += (static_cast<double>(e.took) - usual_probe_) / 32;
     for (std::size_t n = sounding_.size(); n-- > 0;) {
       const auto [x, y] = invocations_[sounding_[n]].pair;
@@ -475,12 +502,15 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= v.most) return false;
-    if (total_out_ + uniform() >= node_limit_) return false;  // below one, chance gives the fraction
+    if (probes_tell_ && v.soundings == 0 && v.hand_offs.empty() && uniform() > share_) return false;
+    if (!probes_tell_ && total_out_ + uniform() >= node_limit_) return false;  // below one, chance gives the fraction
     if (beyond_hope(v)) return false;
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
+    if (probes_tell_ && b == kNone) b = a;
     if (worth_sounding(v, a, b)) sound(i, a, b);
+    else if (probes_tell_ && !(fresh(a) && fresh(b))) return false;
     else place(i, better_of(a, b));
     return true;
   }
@@ -492,8 +522,9 @@
     started_.add(now_, 1);
     usual_out_ += (total_out_ - usual_out_) / 32;
     Backend& b = backends_[to];
-    v.hand_offs.push_back({to, now_, v.work, b.out, !connected(b), Ran::in_flight});
-    if (connected(b)) --b.idle;
+    v.hand_offs.push_back({to, now_, v.work, b.out, !connected(b), fresh(to) ? b.told : -1, Ran::in_flight});
+    if (connected(b) && streams_ == 1) --b.idle;
+    if (b.told >= 0) b.told += 1 / std::max(b.weight, 1e-3);
     ++v.out;
     ++b.out;
     ++b.held;
@@ -527,8 +558,13 @@
   Index better_of(Index a, Index b) {
     if (b == kNone) return a;
     if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
+    if (fresh(a) && fresh(b) && backends_[a].told != backends_[b].told)
+      return backends_[a].told < backends_[b].told ? a : b;
     return uniform() < 0.5 ? a : b;
   }
+  bool fresh(Index n) const {
+    return backends_[n].told >= 0 && now_ - backends_[n].told_at < workloads_[0].due_time / 8;
+  }
 
   // Two fresh random ready ones; b stays kNone where only one is ready.
   bool draw_two(const Invocation& v, Index& a, Index& b) {
@@ -549,6 +585,7 @@
   // Where the counts tell nothing of either and probes are allowed, a probe tells whether a backend is ready:
   // one that takes longer than they usually do, or too long, has work of other nodes waiting.
   bool worth_sounding(const Invocation& v, Index a, Index b) {
+    if (probes_tell_) return !(fresh(a) && fresh(b)) && v.soundings < kSoundings;
     if (!may_probe_ || b == kNone || v.soundings >= kSoundings || backends_[a].out + backends_[b].out > 0)
       return false;
     const double out =
@@ -576,6 +613,7 @@
     const auto [a, b] = v.pair;
     const auto quick = [this](Index n) {
       const Tenths took = backends_[n].probe_took;
+      if (probes_tell_) return took >= 0 && fresh(n);
       return took >= 0 && static_cast<double>(took) <= usual_probe_;
     };
     const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
@@ -603,11 +641,17 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    return b.out < std::max(1.0, b.limit * part) && trusted(b.health, all_) &&
+    if (probes_tell_ && fresh(n) && !has_room(v, b)) return false;
+    return (probes_tell_ || b.out < std::max(1.0, b.limit * part)) && trusted(b.health, all_) &&
            trusted(b.by_workload[v.workload], by_workload_[v.workload]) && (try_new_ || connected(b)) &&
            may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, weighed(v));
   }
 
+  // Whether what it told of itself leaves time for one more.
+  bool has_room(const Invocation& v, const Backend& b) const {
+    return b.wait <= kWait * static_cast<double>(workloads_[v.workload].due_time) && b.told <= room_;
+  }
+
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
   double pull(Index n) const { return std::max(1e-3, backends_[n].weight * warmth(backends_[n])); }
 
@@ -622,13 +666,15 @@
     while (members_.size() < want) {
       Index n = kNone;
       for (int tries = 0; tries < kDraws && n == kNone; ++tries) {
-        const Index drawn = running_[static_cast<std::size_t>(uniform() * running_.size()) % running_.size()];
+        const auto& from = probes_tell_ && 2 * own_zone_.size() < want && own_zone_.size() < near_.size() ? near_ : running_;
+        const Index drawn = from[static_cast<std::size_t>(uniform() * from.size()) % from.size()];
         if (!backends_[drawn].member && trusted(backends_[drawn].health, all_)) n = drawn;
       }
       for (std::size_t k = 0; k < running_.size() && n == kNone; ++k)
         if (!backends_[running_[k]].member) n = running_[k];
       backends_[n].member = true;
       members_.push_back(n);
+      list_own_zone();
     }
     list_own_zone();
   }
@@ -696,12 +742,14 @@
   void learn_connects(Backend& b, const HandOff& h, Ending ending) {
     const bool answered =
         ending == Ending::succeeded || ending == Ending::error || ending == Ending::turned_away;
-    if (answered) ++b.idle, b.idle_until = now_ + keepalive_;
+    if (answered) b.idle = streams_ > 1 ? 1 : b.idle + 1, b.idle_until = now_ + keepalive_;
     if (ending == Ending::unreachable || ending == Ending::broken) b.idle = 0;
     if (!h.new_connection || ending == Ending::never_sent || ending == Ending::recalled) return;
     (ending == Ending::unreachable ? refused_ : connected_).add(now_, 1);
   }
-  bool connected(const Backend& b) const { return b.idle > 0 && now_ < b.idle_until; }
+  bool connected(const Backend& b) const {
+    return b.idle > 0 && (now_ < b.idle_until || (streams_ > 1 && b.out > 0));
+  }
 
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
@@ -880,7 +928,8 @@
   const Tenths margin_;  // no answer is left closer than this to its limit
   const Tenths fall_bucket_;
   int max_hand_offs_ = 1;  // this and the next: from the settings, by derive() alone
-  bool second_copies_ = false, may_recall_ = false, may_probe_ = false;
+  bool second_copies_ = false, may_recall_ = false, may_probe_ = false, probes_tell_ = false;
+  int streams_ = 1;
   double nodes_ = 1, first_limit_ = 0, least_limit_ = 0, cold_from_ = 1, cold_multiple_ = 0;
   Tenths max_retry_in_ = 0;  // 0 where clients don't heed it
   Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0;
@@ -892,7 +941,7 @@
   std::vector<double> usual_;       // by workload: how long a success usually takes
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
-  std::vector<Index> running_, own_zone_, members_, waiting_, sounding_;
+  std::vector<Index> running_, near_, own_zone_, members_, waiting_, sounding_;
   double usual_probe_ = 0, top_weight_ = 0;
   std::int64_t measured_at_ = -1;
   struct Warm {
@@ -906,6 +955,10 @@
   Health all_;                   // of all backends
   std::vector<Health> by_workload_;
   int total_out_ = 0;
+  double room_ = 1e9;      // what a backend may hold for its size, learned from all answers together
+  double pace_ = 0;  // what busy backends get done for their size
+  double share_ = 1;
+  Tenths share_at_ = 0;
   double node_limit_ = 0;  // learned from all answers together
   Ring<10> started_;       // hand-offs begun in the last second
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
--- a/src/decide.h
+++ b/src/decide.h
@@ -39,6 +39,8 @@
   bool must_ask = true;  // the list comes only when asked for
   bool may_recall = false;
   bool may_probe = false;
+  bool probes_tell = false;  // a probe brings a report of what all nodes together have at the backend
+  int streams = 1;           // hand-offs that a connection carries at once
   bool second_copies = false;
   bool client_heeds_retry_in = false;
   bool value_by_work = false;
@@ -101,7 +103,6 @@
   Ending ending = Ending::succeeded;
   bool final = false;  // the invocation is finished
   Tenths took = 0;
-  double utilization = -1;  // of the backend, where it reports it
   bool spent = false;       // of its body nothing is left that could be sent again
 };
 struct AnswerStarted {
@@ -112,10 +113,18 @@
   Index invocation = kNone;
 };
 struct TimerDue {};
+// What a backend tells of itself; -1: not told.
+struct Report {
+  double outstanding = -1;  // invocations that it holds
+  double backlog = -1;      // those of them that wait
+  double utilization = -1;  // of its cores
+  double throughput = -1;   // invocations a second
+};
 struct ProbeEnded {
   Index backend = kNone;
   bool succeeded = false;
   Tenths took = 0;
+  Report report;
 };
 
 // Holds for what arrives from now on; what is under way keeps its workload's terms and its number of hand-offs.
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -24,6 +24,10 @@
                                                             {"full", ListForm::full},
                                                             {"cached", ListForm::cached},
                                                             {"failed", ListForm::failed}};
+constexpr std::pair<std::string_view, double Report::*> kReported[] = {{"outstanding", &Report::outstanding},
+                                                                      {"backlog", &Report::backlog},
+                                                                      {"utilization", &Report::utilization},
+                                                                      {"throughput", &Report::throughput}};
 constexpr std::pair<std::string_view, bool> kBools[] = {
     {"1", true}, {"0", false}, {"true", true}, {"false", false}};
 
@@ -128,6 +132,20 @@
   return a;
 }
 
+static Report read_report(const Fields& f, std::size_t at) {
+  Report r;
+  std::string_view report = f.size() > at && f[at] != "-" ? f[at] : std::string_view();
+  while (!report.empty()) {
+    std::string_view value = report.substr(0, report.find(','));
+    report.remove_prefix(std::min(report.size(), value.size() + 1));
+    const std::size_t colon = value.find(':');
+    if (colon == std::string_view::npos) throw Malformed("report value without ':'");
+    for (const auto& [name, into] : kReported)
+      if (name == value.substr(0, colon)) r.*into = real_number(value.substr(colon + 1), name.data());
+  }
+  return r;
+}
+
 static std::optional<Event> read_ended(const Fields& f, const Ids& ids) {
   expect_fields(f, 8, 9);
   HandOffEnded e;
@@ -135,15 +153,7 @@
   e.ending = word(f[5], kEndings, "result");
   e.number = static_cast<int>(whole_number(f[6], "n"));
   e.took = tenths(f[7], "delay-seen");
-  std::string_view report = f.size() > 8 && f[8] != "-" ? f[8] : std::string_view();
-  while (!report.empty()) {
-    std::string_view value = report.substr(0, report.find(','));
-    report.remove_prefix(std::min(report.size(), value.size() + 1));
-    std::size_t colon = value.find(':');
-    if (colon == std::string_view::npos) throw Malformed("report value without ':'");
-    if (value.substr(0, colon) == "utilization")
-      e.utilization = real_number(value.substr(colon + 1), "utilization");
-  }
+  read_report(f, 8);
   auto held = ids.invocation(f[2]);
   if (!held) return std::nullopt;
   e.invocation = *held;
@@ -174,7 +184,7 @@
   }
   if (name == "PONG") {
     expect_fields(f, 5, 6);
-    return ProbeEnded{ids.backend(f[2], false), f[3] == "OK", tenths(f[4], "delay-seen")};
+    return ProbeEnded{ids.backend(f[2], false), f[3] == "OK", tenths(f[4], "delay-seen"), read_report(f, 5)};
   }
   if (name == "NEIGHBOUR_SAYS") {
     expect_fields(f, 4, 4);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -219,7 +219,7 @@
   Tenths now = 1000000;
   for (int i = 0; i < 300; ++i, now += 10 * kMs) {
     tell(now, Arrival{0, 0, kNone, now + 1500 * kMs, 0, false});
-    tell(now + kMs, HandOffEnded{0, 0, Ending::succeeded, true, kMs, -1});
+    tell(now + kMs, HandOffEnded{0, 0, Ending::succeeded, true, kMs});
     if (i % 10 == 0) tell(now + 2 * kMs, TimerDue{});
   }
   CHECK(timers < 10);
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -177,7 +177,7 @@
 
   void end(const std::string& name, int number, Ending ending, bool final) {
     const Out out = outs_.at(name).at(number);
-    HandOffEnded e{index(invocations_, name), number, ending, final || ending == Ending::succeeded, 0, -1};
+    HandOffEnded e{index(invocations_, name), number, ending, final || ending == Ending::succeeded, 0};
     e.took = now_ - sent_.at({name, number});
     ended_.insert({name, number});
     if (ending == Ending::succeeded) ++idle_[out.backend];
@@ -211,7 +211,7 @@
         later_.erase(later_.begin() + static_cast<std::ptrdiff_t>(first));
         now_ = std::max(now_, end_now.at);
         if (end_now.invocation.empty())
-          tell(ProbeEnded{static_cast<Index>(end_now.number), true, ways_[backends_[end_now.number]].probe});
+          tell(ProbeEnded{static_cast<Index>(end_now.number), true, ways_[backends_[end_now.number]].probe, {}});
         else if (end_now.number < 0) tell(ClientGone{index(invocations_, end_now.invocation)});
         else if (ended_.count({end_now.invocation, end_now.number}) == 0)
           end(end_now.invocation, end_now.number, end_now.ending, false);
