The share of invocations sent on follows whether a whole search finds room, not single probes

At fault: on(ProbeEnded) lowered the share for each probe without room. Now settle() moves it, up where a search ends with a backend, down four times as fast where the last pair has none.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -325,12 +325,6 @@
     b.wait = e.report.backlog > 0 && pace_ > 0 ? b.told / pace_ : 0;
     if (e.report.utilization >= 0 && e.report.utilization < kBusy) b.told = 0;
     b.told_at = now_;
-    if (e.report.backlog >= 0 && e.succeeded) {
-      const bool room = b.wait <= 2 * kWait * static_cast<double>(workloads_.back().due_time) && b.told <= room_;
-      const double dt = static_cast<double>(std::min(now_ - share_at_, kSecond)) / kSecond;
-      share_at_ = now_;
-      share_ = std::clamp(share_ * (room ? 1 + kStep * dt * 4 : 1 - kStep * dt * 4), 0.02, 1.0);
-    }
     if (e.succeeded) usual_probe_ += (static_cast<double>(e.took) - usual_probe_) / 32;
     for (std::size_t n = sounding_.size(); n-- > 0;) {
       const auto [x, y] = invocations_[sounding_[n]].pair;
@@ -617,6 +611,11 @@
       return took >= 0 && static_cast<double>(took) <= usual_probe_;
     };
     const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
+    if (probes_tell_ && pace_ > 0 && (a_ready || b_ready || v.soundings >= kSoundings)) {
+      const double dt = static_cast<double>(std::min(now_ - share_at_, kSecond)) / kSecond;
+      share_at_ = now_;
+      share_ = std::clamp(share_ * (a_ready || b_ready ? 1 + kStep * dt * 2 : 1 - kStep * dt * 8), 0.02, 1.0);
+    }
     if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready))
       return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
     if (!hand_off(i)) wait_or_answer(i);
