troutstage migrate, probes' settings checked, lists that come unasked; probes without reports go

Room, share and pace have one place each. Program: on sockets a node whose settings say that the list is pushed never made a watch, so it never learned a list (Do::watch came only from ask()); the node now makes it.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <sstream>
 
@@ -44,6 +45,12 @@
   return seed;
 }
 
+// Nodes that start with one seed draw alike and meet at the same backends.
+std::uint64_t own_seed() {
+  std::random_device chance;
+  return (static_cast<std::uint64_t>(chance()) << 32) + chance();
+}
+
 }  // namespace
 
 Config read_config(const std::string& text) {
@@ -65,10 +72,14 @@
     flatten("", json.at("settings"), pairs);
     for (const auto& [key, value] : json.items())
       if (key != "known") flatten(key, value, c.given);
-    c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : 0, c.names);
+    c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : own_seed(), c.names);
     if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
-    // The protocol on sockets has no probes.
-    c.settings.may_probe = c.settings.probes_tell = false;
+    if (c.settings.may_probe)
+      c.unused.push_back("settings.bounds.probes: the protocol on sockets has none; a node goes by its own answers");
+    const auto streams = pairs.find("bounds.streams-per-conn");
+    if (streams != pairs.end() && streams->second != "1")
+      c.unused.push_back("settings.bounds.streams-per-conn: on sockets a connection carries one at a time");
+    c.settings.may_probe = false;
     return c;
   } catch (const Json::exception& broken) {
     throw Malformed(broken.what());
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "core/settings.h"
 
@@ -20,6 +21,7 @@
   Settings settings;
   Pairs given;  // all of the file but the list, by paths
   Names names;
+  std::vector<std::string> unused;  // settings that are understood but can't be followed on sockets
 };
 
 // Throws Malformed with one line that says what is wrong.
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -11,6 +11,10 @@
     {"repeatable", Semantics::redoable}, {"by_key", Semantics::labelled}, {"once", Semantics::irreversible}};
 constexpr std::pair<std::string_view, Group> kGroups[] = {
     {"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}};
+// Whether a probe's answer brings a report.
+constexpr std::pair<std::string_view, bool> kReports[] = {
+    {"pull", true}, {"piggyback", true}, {"silent", false}};
+constexpr std::pair<std::string_view, bool> kListed[] = {{"on_request", true}, {"pushed", false}};
 constexpr std::pair<std::string_view, bool> kBools[] = {
     {"1", true}, {"0", false}, {"true", true}, {"false", false}};
 
@@ -77,12 +81,12 @@
   s.nodes = pairs.count("instances");
   s.max_hand_offs = pairs.count("bounds.max-hand-offs");
   if (s.max_hand_offs < 1) throw Malformed("bounds.max-hand-offs is not over 0");
-  s.must_ask = pairs.text("discovery") == "on_request";
+  s.must_ask = word(pairs.text("discovery"), kListed, "discovery");
   s.may_recall = pairs.flag("bounds.cancel");
-  s.may_probe = pairs.flag("bounds.probes");
-  s.probes_tell = s.may_probe && pairs.text_or("report.how", "silent") != "silent";
-  s.streams = pairs.count("bounds.streams-per-conn", "1");
-  if (s.streams < 1) throw Malformed("bounds.streams-per-conn is not over 0");
+  const bool reports = word(pairs.text_or("report.how", "silent"), kReports, "report.how");
+  s.may_probe = pairs.flag("bounds.probes") && reports;
+  if (pairs.count("bounds.streams-per-conn", "1") < 1)
+    throw Malformed("bounds.streams-per-conn is not over 0");
   s.second_copies = pairs.flag("bounds.second-copies");
   s.client_heeds_retry_in = pairs.flag("bounds.retry-after");
   s.max_retry_in = pairs.span("bounds.max-retry-after");
@@ -93,7 +97,8 @@
   s.connect_timeout = pairs.span("bounds.connect-timeout");
   s.keepalive = tenths(pairs.text_or("bounds.keepalive", "0"), "bounds.keepalive");
   s.drain_grace = pairs.span("rules.drain-grace");
-  s.ask_within = pairs.span("rules.ask-within");
+  s.ask_within = s.must_ask ? pairs.span("rules.ask-within")
+                            : tenths(pairs.text_or("rules.ask-within", "10000000"), "rules.ask-within");
   s.fall_window = pairs.span("rules.fall");
   s.warm_within = pairs.span("rules.warm-within");
   s.fall_multiple = pairs.real("rules.fall-multiple");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -65,11 +65,11 @@
 constexpr double kJamShare = 0.18;        // and the limit of the node settles at this share
 constexpr double kStep = 0.3;             // how far one late answer moves it
 constexpr int kSoundings = 2;             // pairs probed for an invocation
-constexpr double kTelling = 4;            // none where a quarter is usually in flight at a backend
+constexpr double kWait = 0.06;            // a backend has room while one waits there for less of the due time
+constexpr double kBusy = 0.85;            // or while less of its cores is in use
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
 constexpr double kLong = 3;               // a copy goes out after so many times what is usual
-constexpr double kWait = 0.06, kBusy = 0.85;
 constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
 // How hand-offs ended lately.
@@ -93,11 +93,10 @@
   Health health;
   std::vector<Health> by_workload;  // the same, each by itself: one may hang where the others are well
   int probes_out = 0;
-  Tenths probe_took = -1;                // what the last probe took; -1: not known
   double told = -1;                      // what it holds for its size, as the last probe told; -1: not told
+  double added = 0;  // of this node's own, since then
   Tenths told_at = 0;
-  double wait = 0;  // how long a new one would wait there
-  int idle = 0;                          // open connections of this node that could take a hand-off
+  int idle = 0;                          // open connections of this node that nothing uses
   Tenths idle_until = 0;                 // when they close by themselves
   bool running = false, member = false;  // in the list; of those that this node keeps to
   Ring<16> done;                         // work this node got done here
@@ -151,7 +150,7 @@
     started_.set_span(kSecond / 10);
     for (Ring<8>* r : {&connected_, &refused_}) r->set_span(kSecond);
     by_workload_.resize(s.workloads.size());
-    if (ask_gap_ > 0) ask(now);
+    if (s.must_ask) ask(now);
   }
 
   const std::vector<Action>& decide(Tenths now, const Event& event) {
@@ -172,8 +171,6 @@
     second_copies_ = s.second_copies;
     may_recall_ = s.may_recall;
     may_probe_ = s.may_probe;
-    probes_tell_ = s.probes_tell;
-    streams_ = s.streams;
     nodes_ = std::max(1, s.nodes);
     first_limit_ = kFirstTogether / nodes_;
     least_limit_ = kLeastTogether / nodes_;
@@ -181,7 +178,9 @@
     cold_from_ = s.cold_from;
     warm_within_ = s.warm_within;
     cold_multiple_ = s.fall_multiple * kColdRoom * s.cold_share;
-    ask_gap_ = s.must_ask ? std::max<Tenths>(s.ask_within / 20, s.tick) : 0;
+    ask_gap_ = std::max<Tenths>(s.ask_within / 20, s.tick);
+    fresh_for_ = INT64_MAX;
+    for (const Workload& w : s.workloads) fresh_for_ = std::min(fresh_for_, w.due_time / 8);
     keepalive_ = s.keepalive;
     workloads_ = s.workloads;
   }
@@ -284,12 +283,7 @@
     const bool lost = e.ending == Ending::unreachable || e.ending == Ending::broken;
     const bool slow = e.took > slow_after(v), timed_out = e.ending == Ending::timed_out;
     if (slow || !(timed_out || lost)) learn_limit(b, h, v, e);
-    if (probes_tell_ && h.told >= 0 && (e.ending == Ending::succeeded || timed_out)) {
-      const bool late = timed_out || e.took > workloads_[v.workload].due_time;
-      if (late && room_ > 1e8 && h.told > 0) room_ = h.told;
-      if (late && h.told > 0 && h.told <= room_) room_ *= 1 - kStep * (1 - kLateShare);
-      else if (h.told > room_ / 2) room_ *= 1 + kStep * kLateShare;
-    }
+    if (h.told > 0 && (e.ending == Ending::succeeded || timed_out)) learn_room(h, v, e);
     if (slow || !timed_out) learn_health(b, v, e);
     learn_connects(b, h, e.ending);
     if (e.ending == Ending::succeeded) {
@@ -317,18 +311,18 @@
     if (e.backend >= backends_.size()) return;
     Backend& b = backends_[e.backend];
     b.probes_out = 0;
-    b.probe_took = e.succeeded ? e.took : workloads_[0].time_limit;
-    const double load = e.report.outstanding >= 0 ? e.report.outstanding : e.report.backlog;
-    b.told = load < 0 ? -1 : load / std::max(b.weight, 1e-3);
-    if (e.report.backlog > 0 && e.report.throughput > 0)
-      pace_ += (e.report.throughput / std::max(b.weight, 1e-3) / kSecond - pace_) / (pace_ > 0 ? 32 : 1);
-    b.wait = e.report.backlog > 0 && pace_ > 0 ? b.told / pace_ : 0;
-    if (e.report.utilization >= 0 && e.report.utilization < kBusy) b.told = 0;
+    const Report& r = e.report;
+    const double size = std::max(b.weight, 1e-3);
+    b.told = std::max(-1.0, (r.outstanding >= 0 ? r.outstanding : r.backlog) / size);
+    if (!e.succeeded) b.told = -1;
+    else if (r.utilization >= 0 && r.utilization < kBusy) b.told = 0;
     b.told_at = now_;
-    if (e.succeeded) usual_probe_ += (static_cast<double>(e.took) - usual_probe_) / 32;
+    b.added = 0;
+    if (r.backlog > 0 && r.throughput > 0)
+      pace_ += (r.throughput / size / kSecond - pace_) / (pace_ > 0 ? 32 : 1);
     for (std::size_t n = sounding_.size(); n-- > 0;) {
       const auto [x, y] = invocations_[sounding_[n]].pair;
-      if (backends_[x].probe_took >= 0 && backends_[y].probe_took >= 0) settle(sounding_[n]);
+      if (backends_[x].probes_out == 0 && backends_[y].probes_out == 0) settle(sounding_[n]);
     }
   }
 
@@ -496,15 +490,18 @@
     Invocation& v = invocations_[i];
     if (!v.held || v.streaming || now_ + margin_ * 2 >= worth_until(v)) return false;
     if (static_cast<int>(v.hand_offs.size()) >= v.most) return false;
-    if (probes_tell_ && v.soundings == 0 && v.hand_offs.empty() && uniform() > share_) return false;
-    if (!probes_tell_ && total_out_ + uniform() >= node_limit_) return false;  // below one, chance gives the fraction
+    if (may_probe_) {  // they tell of a jam before this node's own answers do
+      if (v.soundings == 0 && v.hand_offs.empty() && uniform() > share_) return false;
+    } else if (total_out_ + uniform() >= node_limit_) {
+      return false;  // below one, chance gives the fraction
+    }
     if (beyond_hope(v)) return false;
     try_new_ = likely(connected_.total(now_), refused_.total(now_), 0.5);
     Index a = kNone, b = kNone;
     if (!draw_two(v, a, b)) return false;
-    if (probes_tell_ && b == kNone) b = a;
+    if (may_probe_ && b == kNone) b = a;
     if (worth_sounding(v, a, b)) sound(i, a, b);
-    else if (probes_tell_ && !(fresh(a) && fresh(b))) return false;
+    else if (may_probe_ && !(fresh(a) && fresh(b))) return false;
     else place(i, better_of(a, b));
     return true;
   }
@@ -517,8 +514,8 @@
     usual_out_ += (total_out_ - usual_out_) / 32;
     Backend& b = backends_[to];
     v.hand_offs.push_back({to, now_, v.work, b.out, !connected(b), fresh(to) ? b.told : -1, Ran::in_flight});
-    if (connected(b) && streams_ == 1) --b.idle;
-    if (b.told >= 0) b.told += 1 / std::max(b.weight, 1e-3);
+    if (connected(b)) --b.idle;
+    if (b.told >= 0) b.told += 1 / std::max(b.weight, 1e-3), b.added += 1 / std::max(b.weight, 1e-3);
     ++v.out;
     ++b.out;
     ++b.held;
@@ -552,12 +549,12 @@
   Index better_of(Index a, Index b) {
     if (b == kNone) return a;
     if (backends_[a].out != backends_[b].out) return backends_[a].out < backends_[b].out ? a : b;
-    if (fresh(a) && fresh(b) && backends_[a].told != backends_[b].told)
+    if (fresh(a) && fresh(b) && backends_[a].told != backends_[b].told)  // all nodes' there, by their size
       return backends_[a].told < backends_[b].told ? a : b;
     return uniform() < 0.5 ? a : b;
   }
   bool fresh(Index n) const {
-    return backends_[n].told >= 0 && now_ - backends_[n].told_at < workloads_[0].due_time / 8;
+    return backends_[n].told >= 0 && now_ - backends_[n].told_at < fresh_for_;
   }
 
   // Two fresh random ready ones; b stays kNone where only one is ready.
@@ -576,15 +573,10 @@
     return a != kNone;
   }
 
-  // Where the counts tell nothing of either and probes are allowed, a probe tells whether a backend is ready:
-  // one that takes longer than they usually do, or too long, has work of other nodes waiting.
-  bool worth_sounding(const Invocation& v, Index a, Index b) {
-    if (probes_tell_) return !(fresh(a) && fresh(b)) && v.soundings < kSoundings;
-    if (!may_probe_ || b == kNone || v.soundings >= kSoundings || backends_[a].out + backends_[b].out > 0)
-      return false;
-    const double out =
-        started_.total(now_) * usual_[v.workload] / kSecond / static_cast<double>(running_.size());
-    return uniform() > kTelling * out;
+  // With many nodes the counts of each tell nothing of what the others have at a backend. Where probes tell
+  // that, a pair of which it is not known is probed first.
+  bool worth_sounding(const Invocation& v, Index a, Index b) const {
+    return may_probe_ && v.soundings < kSoundings && !(fresh(a) && fresh(b));
   }
   void sound(Index i, Index a, Index b) {
     Invocation& v = invocations_[i];
@@ -596,7 +588,6 @@
     sounding_.push_back(i);
     for (Index n : v.pair) {
       Backend& x = backends_[n];
-      x.probe_took = -1;
       if (x.probes_out++ == 0) actions_.push_back({Do::probe, kNone, n, 0, 0});
     }
   }
@@ -605,17 +596,8 @@
     sounding_.erase(std::find(sounding_.begin(), sounding_.end(), i));
     v.sound_until = 0;
     const auto [a, b] = v.pair;
-    const auto quick = [this](Index n) {
-      const Tenths took = backends_[n].probe_took;
-      if (probes_tell_) return took >= 0 && fresh(n);
-      return took >= 0 && static_cast<double>(took) <= usual_probe_;
-    };
-    const bool a_ready = quick(a) && ready(v, a, 1), b_ready = quick(b) && ready(v, b, 1);
-    if (probes_tell_ && pace_ > 0 && (a_ready || b_ready || v.soundings >= kSoundings)) {
-      const double dt = static_cast<double>(std::min(now_ - share_at_, kSecond)) / kSecond;
-      share_at_ = now_;
-      share_ = std::clamp(share_ * (a_ready || b_ready ? 1 + kStep * dt * 2 : 1 - kStep * dt * 8), 0.02, 1.0);
-    }
+    const bool a_ready = fresh(a) && ready(v, a, 1), b_ready = fresh(b) && ready(v, b, 1);
+    learn_share(v, a_ready || b_ready);
     if (now_ + margin_ * 2 < worth_until(v) && (a_ready || b_ready))
       return place(i, a_ready && b_ready ? better_of(a, b) : a_ready ? a : b);
     if (!hand_off(i)) wait_or_answer(i);
@@ -640,15 +622,31 @@
 
   bool ready(const Invocation& v, Index n, double part) {
     Backend& b = backends_[n];
-    if (probes_tell_ && fresh(n) && !has_room(v, b)) return false;
-    return (probes_tell_ || b.out < std::max(1.0, b.limit * part)) && trusted(b.health, all_) &&
+    if (may_probe_ && fresh(n) && !has_room(v, b)) return false;
+    return (may_probe_ || b.out < std::max(1.0, b.limit * part)) && trusted(b.health, all_) &&
            trusted(b.by_workload[v.workload], by_workload_[v.workload]) && (try_new_ || connected(b)) &&
            may_go_to(b) && may_repeat_at(v, b) && within_cold_budget(b, weighed(v));
   }
 
-  // Whether what it told of itself leaves time for one more.
+  // Whether what it told of itself leaves time for one more: by the wait, where the pace of waiting ones is
+  // known, else by what answers in time have shown it may hold.
   bool has_room(const Invocation& v, const Backend& b) const {
-    return b.wait <= kWait * static_cast<double>(workloads_[v.workload].due_time) && b.told <= room_;
+    const double in_time = kWait * pace_ * static_cast<double>(workloads_[v.workload].due_time);
+    return b.told <= room_ && (pace_ <= 0 || b.told - b.added <= in_time);
+  }
+  void learn_room(const HandOff& h, const Invocation& v, const HandOffEnded& e) {
+    const bool late = e.ending == Ending::timed_out || e.took > workloads_[v.workload].due_time;
+    // Only late ones sent within it tell that it is too much: a burst's come in long after it has shrunk.
+    if (late && h.told <= room_) room_ = std::min(room_, h.told) * (1 - kStep * (1 - kLateShare));
+    else if (!late && h.told > room_ / 2) room_ *= 1 + kStep * kLateShare;
+  }
+  // Nodes told of the same free backend at once would fill it together. So each sends on only a share
+  // of what comes: more while searches end with a backend, less, and faster, where the last pair has no room.
+  void learn_share(const Invocation& v, bool found) {
+    if (pace_ <= 0 || (!found && v.soundings < kSoundings)) return;
+    const double step = kStep * static_cast<double>(std::min(now_ - share_at_, kSecond)) / kSecond;
+    share_at_ = now_;
+    share_ = std::clamp(share_ * (found ? 1 + 2 * step : 1 - 8 * step), 0.02, 1.0);
   }
 
   // Both are drawn by their size in the list, of which a fresh backend counts the part that its age allows.
@@ -665,7 +663,9 @@
     while (members_.size() < want) {
       Index n = kNone;
       for (int tries = 0; tries < kDraws && n == kNone; ++tries) {
-        const auto& from = probes_tell_ && 2 * own_zone_.size() < want && own_zone_.size() < near_.size() ? near_ : running_;
+        // Half of them near: links between zones cost time and money.
+        const bool near = may_probe_ && 2 * own_zone_.size() < want && own_zone_.size() < near_.size();
+        const std::vector<Index>& from = near ? near_ : running_;
         const Index drawn = from[static_cast<std::size_t>(uniform() * from.size()) % from.size()];
         if (!backends_[drawn].member && trusted(backends_[drawn].health, all_)) n = drawn;
       }
@@ -741,14 +741,12 @@
   void learn_connects(Backend& b, const HandOff& h, Ending ending) {
     const bool answered =
         ending == Ending::succeeded || ending == Ending::error || ending == Ending::turned_away;
-    if (answered) b.idle = streams_ > 1 ? 1 : b.idle + 1, b.idle_until = now_ + keepalive_;
+    if (answered) ++b.idle, b.idle_until = now_ + keepalive_;
     if (ending == Ending::unreachable || ending == Ending::broken) b.idle = 0;
     if (!h.new_connection || ending == Ending::never_sent || ending == Ending::recalled) return;
     (ending == Ending::unreachable ? refused_ : connected_).add(now_, 1);
   }
-  bool connected(const Backend& b) const {
-    return b.idle > 0 && (now_ < b.idle_until || (streams_ > 1 && b.out > 0));
-  }
+  bool connected(const Backend& b) const { return b.idle > 0 && now_ < b.idle_until; }
 
   // Whether a backend is to be trusted with work: a draw from the posterior of its chance of success, held
   // against the whole fleet's, so that quick errors don't draw work to an empty-looking backend, and yet it
@@ -927,11 +925,10 @@
   const Tenths margin_;  // no answer is left closer than this to its limit
   const Tenths fall_bucket_;
   int max_hand_offs_ = 1;  // this and the next: from the settings, by derive() alone
-  bool second_copies_ = false, may_recall_ = false, may_probe_ = false, probes_tell_ = false;
-  int streams_ = 1;
+  bool second_copies_ = false, may_recall_ = false, may_probe_ = false;
   double nodes_ = 1, first_limit_ = 0, least_limit_ = 0, cold_from_ = 1, cold_multiple_ = 0;
   Tenths max_retry_in_ = 0;  // 0 where clients don't heed it
-  Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0;
+  Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0, fresh_for_ = 0;
   std::vector<Workload> workloads_;  // by index; some may be those of invocations under way alone
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
@@ -941,7 +938,7 @@
   std::vector<Backend> backends_;
   std::vector<Invocation> invocations_;
   std::vector<Index> running_, near_, own_zone_, members_, waiting_, sounding_;
-  double usual_probe_ = 0, top_weight_ = 0;
+  double top_weight_ = 0;
   std::int64_t measured_at_ = -1;
   struct Warm {
     double done = 0, weight = 0;
@@ -955,8 +952,8 @@
   std::vector<Health> by_workload_;
   int total_out_ = 0;
   double room_ = 1e9;      // what a backend may hold for its size, learned from all answers together
-  double pace_ = 0;  // what busy backends get done for their size
-  double share_ = 1;
+  double pace_ = 0;        // what backends with a backlog get done for their size; 0: not told
+  double share_ = 1;       // of what comes in that is sent on
   Tenths share_at_ = 0;
   double node_limit_ = 0;  // learned from all answers together
   Ring<10> started_;       // hand-offs begun in the last second
--- a/src/decide.h
+++ b/src/decide.h
@@ -38,9 +38,7 @@
   int max_hand_offs = 1;
   bool must_ask = true;  // the list comes only when asked for
   bool may_recall = false;
-  bool may_probe = false;
-  bool probes_tell = false;  // a probe brings a report of what all nodes together have at the backend
-  int streams = 1;           // hand-offs that a connection carries at once
+  bool may_probe = false;  // and a probe brings a report of what all nodes together have at the backend
   bool second_copies = false;
   bool client_heeds_retry_in = false;
   bool value_by_work = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,11 +5,14 @@
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <optional>
 
 #include "config/config.h"
 #include "log/log.h"
+#include "migrate/migrate.h"
 #include "net/node.h"
 #include "ops/door.h"
 #include "ops/figures.h"
@@ -111,9 +114,37 @@
   return 0;
 }
 
+// Written beside and moved into place: no half of a file is ever found there.
+void write_new(const std::string& path, const std::string& text) {
+  if (std::filesystem::exists(path)) throw Malformed("'" + path + "' is there already");
+  const std::string beside = path + ".part";
+  std::ofstream out(beside);
+  out << text << std::flush;
+  if (!out) throw Malformed("can't write '" + path + "'");
+  out.close();
+  std::filesystem::rename(beside, path);
+}
+
+int migrate_file(const options::variables_map& given) {
+  const std::string from = config_path(given);
+  if (from.empty()) throw Malformed("no configuration: give --config FILE or set RELAY_CONFIG");
+  const bool dry = given.count("dry-run") > 0;
+  if (!dry && !given.count("to")) throw Malformed("give --to FILE for the new configuration, or --dry-run");
+  migrate::Target target;
+  if (given.count("nodes")) target.nodes = given["nodes"].as<int>();
+  if (given.count("streams")) target.streams = given["streams"].as<int>();
+  if (given.count("listen")) net::parse_address(target.listen = given["listen"].as<std::string>());
+  const migrate::Migrated to = migrate::migrate(read_file(from), target);
+  if (!dry) write_new(given["to"].as<std::string>(), to.text);
+  for (const std::string& line : to.changed) std::cout << "changed  " << line << "\n";
+  for (const std::string& line : to.left) std::cout << "left out " << line << "\n";
+  if (dry) std::cout << "nothing was written; the new file would be:\n" << to.text;
+  return 0;
+}
+
 int run(int argc, char** argv) {
   const std::string command = argc > 1 && argv[1][0] != '-' ? argv[1] : argc > 1 ? "help" : "serve";
-  options::options_description all("Options of serve and check");
+  options::options_description all("Options");
   auto add = all.add_options();
   add("config", options::value<std::string>(), "configuration file (else RELAY_CONFIG)");
   add("name", options::value<std::string>(), "the node's name (else RELAY_NAME, else the file's)");
@@ -123,12 +154,18 @@
       "ADDRESS:PORT of discovery (else RELAY_DISCOVERY, else the file's)");
   add("mgmt", options::value<std::string>(),
       "ADDRESS:PORT for operators' calls (else RELAY_MGMT, else the file's, else none)");
+  add("to", options::value<std::string>(), "migrate: the new configuration's file, which must not exist");
+  add("nodes", options::value<int>(), "migrate: how many processes there are, each with a node");
+  add("streams", options::value<int>(), "migrate: hand-offs that a connection carries at once");
+  add("dry-run", "migrate: write nothing, show what would be written");
   add("verbose", "log what happens to single requests too");
   if (command == "help") {
-    std::cout << "troutstage serve|check|version|help [options]\n"
+    std::cout << "troutstage serve|check|migrate|version|help [options]\n"
                  "  serve    run a node until SIGTERM; SIGUSR1 logs its counters,\n"
                  "           SIGHUP reads the configuration file anew (the default)\n"
                  "  check    read the configuration and say whether it can be used\n"
+                 "  migrate  write the counterpart of a pool's configuration for a node beside each\n"
+                 "           client process, and list what it could not carry over\n"
                  "  version  print the version\n\n"
               << all;
     return 0;
@@ -137,14 +174,16 @@
     std::cout << "troutstage " << kVersion << "\n";
     return 0;
   }
-  if (command != "serve" && command != "check")
+  if (command != "serve" && command != "check" && command != "migrate")
     throw Malformed("unknown command '" + command + "', see help");
   options::variables_map given;
   options::store(
       options::command_line_parser(std::max(0, argc - 1), argv + std::min(1, argc)).options(all).run(),
       given);
   if (given.count("verbose")) log::set_least(log::Level::debug);
+  if (command == "migrate") return migrate_file(given);
   const Config config = load(given);
+  for (const std::string& line : config.unused) log::warning("not followed: {}", line);
   if (command == "serve") return serve(config, config_path(given));
   std::cout << "configuration can be used: " << config.name << " on " << config.listen << ", "
             << config.settings.workloads.size() << " workloads\n";
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -111,6 +111,8 @@
 
 void Node::start() {
   accept_over_ = false;
+  // On sockets every list comes by a watch; where the decisions needn't ask for it, the node does.
+  if (!config_.settings.must_ask) balancer_.watch_now();
   if (!inner_.run([this] { balancer_.run_ticks(); }) || !inner_.run([this] { watch_->run(); }) ||
       !inner_.run([this] { vigil_.run(); }) || !inner_.run([this] { lobby_.run(); }) ||
       !inner_.run([this] { housekeep(); }) || !inner_.run([this] { accept_all(); }))
