--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -34,6 +34,11 @@
   double real(const std::string& path) const { return real_number(text(path), path.c_str()); }
   Tenths span(const std::string& path) const { return tenths(text(path), path.c_str()); }
   bool flag(const std::string& path) const { return word(text(path), kBools, path.c_str()); }
+  double price(const std::string& path) const {
+    const double value = real_number(text_or(path, "0"), path.c_str());
+    if (value < 0) throw Malformed(path + " is below 0");
+    return value;
+  }
   int count(const std::string& path, std::string_view fallback = "") const {
     std::string_view value = fallback.empty() ? text(path) : text_or(path, fallback);
     std::int64_t n = whole_number(value, path.c_str());
@@ -93,6 +98,8 @@
   s.value_by_work = pairs.text_or("billing-value-basis", "request") == "work";
   s.beyond_share_value =
       real_number(pairs.text_or("beyond-share-billing-value", "1"), "beyond-share-billing-value");
+  s.cross_zone_price = pairs.price("costs.cross-zone");
+  s.connect_price = pairs.price("costs.handshake");
   s.tick = pairs.span("tick");
   s.connect_timeout = pairs.span("bounds.connect-timeout");
   s.keepalive = tenths(pairs.text_or("bounds.keepalive", "0"), "bounds.keepalive");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -171,6 +171,7 @@
     second_copies_ = s.second_copies;
     may_recall_ = s.may_recall;
     may_probe_ = s.may_probe;
+    dear_links_ = s.may_probe && s.cross_zone_price > s.connect_price;
     nodes_ = std::max(1, s.nodes);
     first_limit_ = kFirstTogether / nodes_;
     least_limit_ = kLeastTogether / nodes_;
@@ -663,8 +664,8 @@
     while (members_.size() < want) {
       Index n = kNone;
       for (int tries = 0; tries < kDraws && n == kNone; ++tries) {
-        // Half of them near: links between zones cost time and money.
-        const bool near = may_probe_ && 2 * own_zone_.size() < want && own_zone_.size() < near_.size();
+        // Half of them near, where a link between zones costs more than a new connection does.
+        const bool near = dear_links_ && 2 * own_zone_.size() < want && own_zone_.size() < near_.size();
         const std::vector<Index>& from = near ? near_ : running_;
         const Index drawn = from[static_cast<std::size_t>(uniform() * from.size()) % from.size()];
         if (!backends_[drawn].member && trusted(backends_[drawn].health, all_)) n = drawn;
@@ -925,7 +926,7 @@
   const Tenths margin_;  // no answer is left closer than this to its limit
   const Tenths fall_bucket_;
   int max_hand_offs_ = 1;  // this and the next: from the settings, by derive() alone
-  bool second_copies_ = false, may_recall_ = false, may_probe_ = false;
+  bool second_copies_ = false, may_recall_ = false, may_probe_ = false, dear_links_ = false;
   double nodes_ = 1, first_limit_ = 0, least_limit_ = 0, cold_from_ = 1, cold_multiple_ = 0;
   Tenths max_retry_in_ = 0;  // 0 where clients don't heed it
   Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0, fresh_for_ = 0;
--- a/src/decide.h
+++ b/src/decide.h
@@ -43,6 +43,8 @@
   bool client_heeds_retry_in = false;
   bool value_by_work = false;
   double beyond_share_value = 1;
+  double cross_zone_price = 0;  // for each hand-off between zones
+  double connect_price = 0;     // for each new connection
   Tenths max_retry_in = 0;
   Tenths tick = 10;
   Tenths connect_timeout = 0;
--- a/tests/migrate_test.cpp
+++ b/tests/migrate_test.cpp
@@ -80,6 +80,9 @@
   const std::string probes = "\"probes\":false";
   CHECK_THROWS_WITH(read_config(with(probes, probes + ",\"streams-per-conn\":0")),
                     "bounds.streams-per-conn is not over 0");
+  CHECK_THROWS_WITH(read_config(with("\"tick\"", "\"costs\":{\"cross-zone\":-1},\"tick\"")),
+                    "costs.cross-zone is below 0");
+  CHECK(read_config(with("\"tick\"", "\"costs\":{\"handshake\":0.5},\"tick\"")).settings.connect_price == 0.5);
   CHECK_THROWS_WITH(read_config(with("\"tick\"", "\"report\":{\"how\":\"loudly\"},\"tick\"")),
                     "unknown report.how 'loudly'");
   CHECK_THROWS_WITH(read_config(with("on_request", "sometimes")), "unknown discovery 'sometimes'");
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -112,6 +112,7 @@
     s_.must_ask = !l.has("pushed");
     s_.may_recall = true;
     s_.may_probe = l.has("probes");
+    s_.cross_zone_price = l.number("link", 0);
     s_.second_copies = !l.has("no-copies");
     s_.tick = kMs;
     s_.connect_timeout = 250 * kMs;
