migrate takes OLD by itself, lists on standard error, unknown keys, and refuses the new shape

A file of the new shape was silently rewritten to itself, an unknown key carried over unsaid. No module or network code touched.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -127,7 +127,7 @@
 
 int migrate_file(const options::variables_map& given) {
   const std::string from = config_path(given);
-  if (from.empty()) throw Malformed("no configuration: give --config FILE or set RELAY_CONFIG");
+  if (from.empty()) throw Malformed("no configuration: say migrate OLD, give --config or set RELAY_CONFIG");
   const bool dry = given.count("dry-run") > 0;
   if (!dry && !given.count("to")) throw Malformed("give --to FILE for the new configuration, or --dry-run");
   migrate::Target target;
@@ -136,9 +136,10 @@
   if (given.count("listen")) net::parse_address(target.listen = given["listen"].as<std::string>());
   const migrate::Migrated to = migrate::migrate(read_file(from), target);
   if (!dry) write_new(given["to"].as<std::string>(), to.text);
-  for (const std::string& line : to.changed) std::cout << "changed  " << line << "\n";
-  for (const std::string& line : to.left) std::cout << "left out " << line << "\n";
-  if (dry) std::cout << "nothing was written; the new file would be:\n" << to.text;
+  for (const std::string& line : to.changed) std::cerr << "changed  " << line << "\n";
+  for (const std::string& line : to.left) std::cerr << "left out " << line << "\n";
+  if (dry) std::cerr << "nothing was written; the new file would be:\n";
+  if (dry) std::cout << to.text;
   return 0;
 }
 
@@ -177,9 +178,11 @@
   if (command != "serve" && command != "check" && command != "migrate")
     throw Malformed("unknown command '" + command + "', see help");
   options::variables_map given;
-  options::store(
-      options::command_line_parser(std::max(0, argc - 1), argv + std::min(1, argc)).options(all).run(),
-      given);
+  options::positional_options_description places;
+  if (command == "migrate") places.add("config", 1);
+  options::store(options::command_line_parser(std::max(0, argc - 1), argv + std::min(1, argc))
+                     .options(all).positional(places).run(),
+                 given);
   if (given.count("verbose")) log::set_least(log::Level::debug);
   if (command == "migrate") return migrate_file(given);
   const Config config = load(given);
--- a/src/migrate/migrate.cpp
+++ b/src/migrate/migrate.cpp
@@ -1,5 +1,6 @@
 #include "migrate/migrate.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "config/config.h"
@@ -56,11 +57,17 @@
 Migrated migrate(const std::string& old_file, const Target& target) {
   if (target.nodes < 0 || target.nodes > 1000000) throw Malformed("nodes is out of range");
   if (target.streams < 0 || target.streams > 1000000) throw Malformed("streams is out of range");
-  read_config(old_file);
+  const Config old = read_config(old_file);
+  if (!old.settings.must_ask && !old.settings.second_copies)
+    throw Malformed("it is of the new shape already: its list comes unasked and second copies are barred");
   Json json = Json::parse(old_file);
   Migrated to;
   Rewriting file(json, to);
   for (const auto& [key, why] : kOwn) file.drop(key, why);
+  constexpr std::string_view kKnown[] = {"listen", "discovery", "limits", "settings"};
+  for (const auto& [key, value] : json.items())
+    if (std::find(std::begin(kKnown), std::end(kKnown), key) == std::end(kKnown))
+      to.left.push_back(key + ": not known here, and carried over as it stands");
   const std::string was = json.value("listen", "");
   if (!target.listen.empty() && target.listen != was) {
     to.changed.push_back("listen: " + (was.empty() ? "not set" : was) + " -> " + target.listen);
