Membership engine, its laboratory on a virtual clock and invariants; not used by the node yet

Nodes know nothing of one another: each takes its fixed part of every shared budget, also when seven in ten are gone.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "config/config.h"
+#include "lab/command.h"
 #include "log/log.h"
 #include "migrate/migrate.h"
 #include "net/node.h"
@@ -161,12 +162,13 @@
   add("dry-run", "migrate: write nothing, show what would be written");
   add("verbose", "log what happens to single requests too");
   if (command == "help") {
-    std::cout << "troutstage serve|check|migrate|version|help [options]\n"
+    std::cout << "troutstage serve|check|migrate|lab|version|help [options]\n"
                  "  serve    run a node until SIGTERM; SIGUSR1 logs its counters,\n"
                  "           SIGHUP reads the configuration file anew (the default)\n"
                  "  check    read the configuration and say whether it can be used\n"
                  "  migrate  write the counterpart of a pool's configuration for a node beside each\n"
                  "           client process, and list what it could not carry over\n"
+                 "  lab      try what nodes do together on a virtual clock, see troutstage lab help\n"
                  "  version  print the version\n\n"
               << all;
     return 0;
@@ -175,6 +177,7 @@
     std::cout << "troutstage " << kVersion << "\n";
     return 0;
   }
+  if (command == "lab") return lab::command(argc - 1, argv + 1);
   if (command != "serve" && command != "check" && command != "migrate")
     throw Malformed("unknown command '" + command + "', see help");
   options::variables_map given;
