--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -61,6 +61,10 @@
     c.listen = json.value("listen", "");
     c.discovery = c.discovery_in_file = json.value("discovery", "");
     c.mgmt = json.value("mgmt", "");
+    c.peer_listen = json.value("peer_listen", "");
+    if (json.contains("peers") && json.at("peers").is_array())
+      for (const Json& one : json.at("peers"))
+        if (one.is_string()) c.peers.push_back(one.get<std::string>());
     if (json.contains("known")) c.known = json.at("known").dump();
     if (json.contains("limits")) {
       c.descriptors = json.at("limits").value("sockets", c.descriptors);
@@ -73,6 +77,7 @@
     for (const auto& [key, value] : json.items())
       if (key != "known") flatten(key, value, c.given);
     c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : own_seed(), c.names);
+    if (const auto zone = pairs.find("zone"); zone != pairs.end()) c.zone = zone->second;
     if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
     if (c.settings.may_probe)
       c.unused.push_back("settings.bounds.probes: the protocol on sockets has none; a node goes by its own answers");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "config/fleet.h"
 #include "core/settings.h"
 
 namespace troutstage {
@@ -15,6 +16,10 @@
   int passed_socket = -1;         // the clients' listener that it was started with; -1: none
   std::string scratch;            // a folder that another process of this node sees too
   std::string discovery_in_file;  // what the file itself says of it
+  std::string peer_listen;         // where other nodes' datagrams come; and where each node's go, in order
+  std::vector<std::string> peers;
+  std::string zone;                // its name
+  FleetFile fleet;                     // what nodes do together: nothing, without an operator's own file
   std::string known;  // the list as it was last had, in discovery's form
   std::size_t descriptors = 1024, memory_mb = 192;
   std::size_t own_descriptors = 0;  // what else in this process keeps open
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -68,6 +68,14 @@
   over(config.mgmt, "RELAY_MGMT", "mgmt", true);
   net::parse_address(config.listen);
   net::parse_address(config.discovery);
+  if (const std::string fleet = given.count("fleet") ? given["fleet"].as<std::string>() : environment("TROUTSTAGE_FLEET"); !fleet.empty()) {
+    try {
+      config.fleet = read_fleet(read_file(fleet));
+    } catch (const Malformed& wrong) {
+      throw Malformed("fleet file '" + fleet + "': " + wrong.what());
+    }
+    if (config.fleet.membership.enabled) config.own_descriptors += net::Peers::kDescriptors;
+  }
   if (!config.mgmt.empty()) net::parse_address(config.mgmt), config.own_descriptors += ops::Door::kDescriptors;
   if (const std::string passed = environment("RELAY_PASSED_SOCKET"); !passed.empty()) {
     const std::int64_t fd = whole_number(passed, "RELAY_PASSED_SOCKET");
@@ -87,6 +95,7 @@
   bool drain() override { return node_.drain(); }
   bool activate() override { return node_.activate(); }
   std::string figures() override { return ops::figures_text(node_.figures()); }
+  std::optional<std::string> members() override { return node_.members(); }
 
  private:
   net::Node& node_;
@@ -108,10 +117,10 @@
   node.start();
   for (int got = 0; ::sigwait(&signals, &got) == 0 && (got == SIGUSR1 || got == SIGHUP);) {
     if (got == SIGHUP) node.reload(path);
-    else log::info("{}", node.counters().text());
+    else log::info("{}", node.counters_text());
   }
   node.stop(stop_before_the_kill(*node.settings()));
-  log::info("{}", node.counters().text());
+  log::info("{}", node.counters_text());
   return 0;
 }
 
@@ -156,6 +165,8 @@
       "ADDRESS:PORT of discovery (else RELAY_DISCOVERY, else the file's)");
   add("mgmt", options::value<std::string>(),
       "ADDRESS:PORT for operators' calls (else RELAY_MGMT, else the file's, else none)");
+  add("fleet", options::value<std::string>(),
+      "what nodes do together, a JSON file (else TROUTSTAGE_FLEET, else nothing)");
   add("to", options::value<std::string>(), "migrate: the new configuration's file, which must not exist");
   add("nodes", options::value<int>(), "migrate: how many processes there are, each with a node");
   add("streams", options::value<int>(), "migrate: hand-offs that a connection carries at once");
--- a/src/members/engine.cpp
+++ b/src/members/engine.cpp
@@ -108,7 +108,7 @@
     Tenths led_at = INT64_MIN / 2;   // it was told to be the lowest of these
     std::string name, zone;
     bool gone = false, gone_left = false;
-    std::uint64_t gone_life = 0;
+    std::uint64_t gone_life = 0, removed = 0;  // as it was shown; the newest life that left a view
     Tenths roll_heard = INT64_MIN / 2;  // the roll call that it last answered was sent
     int tries = 0;                      // of statements that it did not hear
     Tenths deaf_until = 0;
@@ -312,7 +312,7 @@
     p.name = hello.name.substr(0, kMostName), p.zone = hello.zone.substr(0, kMostName);
     const bool both_ways = hello.echo != 0 && (hello.echo == cookie_for(h.from, 0) || hello.echo == cookie_for(h.from, 1));
     if (both_ways && hello.lost) p.lost_at = now_;
-    if (both_ways && fresh() && !view_.has(h.from, h.life)) {
+    if (both_ways && fresh() && !view_.has(h.from, h.life) && h.life > p.removed) {
       Standing& st = state(h.from, Statement::What::vouches, h.life, 0);
       st.said.name = p.name, st.said.zone = p.zone;
       st.since = now_;
@@ -637,7 +637,7 @@
       std::size_t vouchers = 0;
       Member m;
       for (auto& [who, said] : by) {
-        if (now_ - said.at > kRecent || said.said.life < nodes_[n].life || view_.has(n, said.said.life)) continue;
+        if (now_ - said.at > kRecent || said.said.life < nodes_[n].life || said.said.life <= nodes_[n].removed || view_.has(n, said.said.life)) continue;
         if (said.said.life > m.life) m = {n, said.said.life, said.said.name.substr(0, kMostName), said.said.zone.substr(0, kMostName)}, vouchers = 0;
         if (said.said.life == m.life) ++vouchers;
       }
@@ -865,6 +865,7 @@
     for (const Member& m : view_.members) {
       if (next.find(m.node) != nullptr || m.node >= nodes_.size()) continue;
       Node& p = nodes_[m.node];
+      p.removed = std::max(p.removed, m.life);
       p.gone = true, p.gone_life = std::max(p.gone_life, m.life + p.refuted), p.name = m.name, p.zone = m.zone;
       p.gone_left = std::find(change.left.begin(), change.left.end(), m.node) != change.left.end();
       (p.gone_left ? n.left : n.died).push_back(m.node);
@@ -887,6 +888,8 @@
     due_since_ = INT64_MAX, unsettled_at_ = INT64_MIN / 2, acting_ = false;
     for (Node& p : nodes_) p.roll_heard = INT64_MIN / 2;
     if (was_in && !member()) {
+      // What it sent until now may still come, and must not bring it back once it has died.
+      life_ += refuted_ + 1, refuted_ = 0;
       back_wait_ = now_ - joined_at_ > kMostBack ? kFirstBack : std::min(kMostBack, std::max(kFirstBack, 2 * back_wait_));
       back_from_ = now_ + back_wait_;
     }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -158,7 +158,7 @@
   const bool keep = request.keep_alive && lasts_ && !node_.lets_go();
   if (request.target == kReadyPath)
     return node_.ready() ? reply(200, "up\n", keep) : reply(503, "not up\n", keep);
-  if (request.target == kCountersPath) return reply(200, node_.counters_.text(), keep);
+  if (request.target == kCountersPath) return reply(200, node_.counters_text(), keep);
   if (!has_place_) {  // nothing was handed off
     ++work->offer.answers->rejected;
     return refuse({503, Bad::no_room}), false;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
 constexpr std::chrono::milliseconds kSettle{20};  // what a backend sends beyond its answer comes sooner
+constexpr std::chrono::milliseconds kFarewell{500};  // for the other nodes to hear that this one leaves
 // The front hears of a drain within some tenths of a second and sends new connections until then: what is
 // idle is let go after that, and long before it would count as held.
 constexpr std::chrono::milliseconds kFrontHears{1000};
@@ -95,7 +96,7 @@
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
       listener_(listener_of(config_)), reserve_(reserve(config_)),
       lobby_([this](std::shared_ptr<Client> client) { work_for(std::move(client)); }, most_waiting(config_)),
-      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(6) {
+      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(7) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
@@ -105,6 +106,11 @@
   balancer_.told(ListForm::cached, std::move(known.entries));
   std::vector<Index> like;
   terms_ = settle(config_.settings, config_.names, settings_, like);
+  if (!config_.fleet.membership.enabled) return;
+  const std::string left = sibling_ ? config_.scratch + "/troutstage-members-" + std::to_string(std::hash<std::string>()(config_.name)) : "";
+  peers_ = std::make_unique<Peers>(Peers::Start{config_.name, config_.zone, config_.peer_listen, config_.peers, config_.fleet.membership,
+                                                config_.settings.fall_window, left, sibling_ && sibling_->is_successor()},
+                                   [this](int nodes) { share_with(nodes); });
 }
 
 Node::~Node() { stop({}); }
@@ -115,7 +121,8 @@
   if (!config_.settings.must_ask) balancer_.watch_now();
   if (!inner_.run([this] { balancer_.run_ticks(); }) || !inner_.run([this] { watch_->run(); }) ||
       !inner_.run([this] { vigil_.run(); }) || !inner_.run([this] { lobby_.run(); }) ||
-      !inner_.run([this] { housekeep(); }) || !inner_.run([this] { accept_all(); }))
+      !inner_.run([this] { housekeep(); }) || !inner_.run([this] { accept_all(); }) ||
+      (peers_ && !inner_.run([this] { peers_->run(); })))
     throw std::runtime_error("can't start the node's threads");
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
@@ -280,12 +287,14 @@
     Config fresh = read_config(read_file(path));
     check_complete(config_, fresh);
     const bool moves = fresh.discovery_in_file != config_.discovery_in_file;
+    if (peers_) peers_->check(fresh.peers);
     const sockaddr_in discovery = parse_address(moves ? fresh.discovery_in_file : "0.0.0.0:0");
     // A new process is needed for these: measures taken by the old ones would be read by the new.
     fresh.settings.zone = config_.settings.zone;
     fresh.settings.tick = config_.settings.tick;
     fresh.settings.fall_window = config_.settings.fall_window;
     fresh.settings.cold_share = config_.settings.cold_share;
+    if (nodes_ > 0) fresh.settings.nodes = nodes_;
     std::shared_ptr<const Settings> all;
     std::vector<Index> like;
     auto terms = settle(fresh.settings, fresh.names, all, like);
@@ -296,6 +305,8 @@
       settings_ = all;
     }
     if (moves) watch_->move(discovery);
+    if (peers_ && fresh.peers != config_.peers) peers_->move(fresh.peers);
+    config_.peers = fresh.peers;
     config_.settings = fresh.settings;
     config_.given = fresh.given;
     config_.discovery_in_file = fresh.discovery_in_file;
@@ -358,6 +369,22 @@
   config_.settings.cold_share = share;
   auto now = std::make_shared<Settings>(*settings());
   now->cold_share = share;
+  go_by(std::move(now));
+}
+
+// Shared budgets follow the agreed view in place of the settings' number of nodes.
+void Node::share_with(int nodes) {
+  std::lock_guard settles(settling_);
+  if (nodes_ == nodes) return;
+  nodes_ = config_.settings.nodes = nodes;
+  auto now = std::make_shared<Settings>(*settings());
+  now->nodes = nodes;
+  log::info("members share nodes={}", nodes);
+  go_by(std::move(now));
+}
+
+// The same workloads under other numbers of the fleet. `settling_` is held.
+void Node::go_by(std::shared_ptr<Settings> now) {
   std::vector<Index> like;
   for (Index n = 0; n < now->workloads.size(); ++n) like.push_back(n);
   balancer_.settle(now, std::move(like));
@@ -365,6 +392,13 @@
   settings_ = now;
 }
 
+std::optional<std::string> Node::members() const {
+  if (!peers_) return std::nullopt;
+  return peers_->json();
+}
+
+std::string Node::counters_text() const { return counters_.text() + (peers_ ? peers_->counters().text() : ""); }
+
 Figures Node::figures() {
   Figures f;
   for (const auto& [name, answers] : counters_.answers.all())
@@ -387,6 +421,9 @@
   if (has_end) answer_by_ = clock_.now() + how.answering.count() * 10;
   hands_over_ = sibling_ && sibling_->other_lives();
   if (hands_over_) log::info("a successor takes what comes");
+  // A successor is the same member; else the others are told at once, and not left to find out.
+  if (peers_ && hands_over_) peers_->hand_over();
+  else if (peers_) peers_->leave();
   std::unique_lock held(lock_);
   // A successor has its clients' next connections, so each is let go at its next answer, and an idle one after
   // a while in which most have asked.
@@ -410,6 +447,9 @@
   workers_.finish();
   balancer_.stop();
   watch_->stop();
+  for (const Moment limit = Moment::clock::now() + kFarewell; peers_ && !hands_over_ && !peers_->has_left() && Moment::clock::now() < limit;)
+    std::this_thread::sleep_for(kLook);
+  if (peers_) peers_->stop();
   vigil_.stop();
   lobby_.stop();
   inner_.finish();
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "config/config.h"
@@ -11,6 +12,7 @@
 #include "net/counters.h"
 #include "net/directory.h"
 #include "net/lobby.h"
+#include "net/peers.h"
 #include "net/pool.h"
 #include "net/sibling.h"
 #include "net/terms.h"
@@ -53,6 +55,8 @@
   bool activate();
   bool ready() const { return stage_.ready(); }
   Figures figures();
+  std::optional<std::string> members() const;  // what is known of the other nodes; nothing where membership is off
+  std::string counters_text() const;
   std::shared_ptr<const Settings> settings() const;  // as they hold now
   // Reads a configuration anew: its settings hold for what comes from then on, and a discovery that is another
   // than the file named before wins over where that was known from. Where anything is wrong with the file,
@@ -88,6 +92,8 @@
   }
   void let_idle_go();
   void heed_sibling();
+  void share_with(int nodes);  // counts itself as one of so many from now on
+  void go_by(std::shared_ptr<Settings> now);
   void accept_all();
   void take(Fd fd);
   void work_for(std::shared_ptr<Client> client);
@@ -116,6 +122,7 @@
   Pool pool_;
   Vigil vigil_;
   std::unique_ptr<Watch> watch_;
+  std::unique_ptr<Peers> peers_;  // where membership is on
   Fd listener_;
 
   mutable std::mutex lock_;
@@ -123,6 +130,7 @@
   std::set<Reading*> reading_;
   std::size_t open_ = 0, over_budget_ = 0;  // clients' connections, and those of them that have no place
   bool stopped_ = false, accept_over_ = true;
+  int nodes_ = 0;         // by the membership; 0: it is off, and the settings tell. Guarded by settling_
   std::mutex settling_;  // over the settings of the module and how they come about
   std::atomic<bool> paired_{false};      // another process of this node is there
   std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
--- a/src/ops/door.cpp
+++ b/src/ops/door.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <optional>
 #include <system_error>
 
 #include "log/log.h"
@@ -49,13 +48,14 @@
 }  // namespace
 
 Reply answer_call(Operated& node, std::string_view method, std::string_view target) {
-  enum class Call { ready, figures, drain, activate };
+  enum class Call { ready, figures, members, drain, activate };
   static constexpr struct {
     std::string_view path;
     Call call;
     bool reads;
   } kCalls[] = {{"/v1/readyz", Call::ready, true},
                 {"/v1/metrics", Call::figures, true},
+                {"/v1/members", Call::members, true},
                 {"/v1/node/drain", Call::drain, false},
                 {"/v1/node/activate", Call::activate, false}};
   const std::string_view path = net::path_of(target);
@@ -66,6 +66,10 @@
     switch (known.call) {
       case Call::ready: return node.ready() ? Reply{200, "ready\n", ""} : Reply{503, "not ready\n", ""};
       case Call::figures: return {200, node.figures(), "Content-Type: application/json\r\n"};
+      case Call::members: {
+        auto told = node.members();
+        return told ? Reply{200, std::move(*told), "Content-Type: application/json\r\n"} : Reply{404, "membership is off\n", ""};
+      }
       case Call::drain:
         return node.drain() ? Reply{200, "draining\n", ""} : Reply{409, "stopping\n", ""};
       case Call::activate:
--- a/src/ops/door.h
+++ b/src/ops/door.h
@@ -3,6 +3,7 @@
 // delay an answer.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,7 @@
   virtual bool drain() = 0;  // false: it can't any more
   virtual bool activate() = 0;
   virtual std::string figures() = 0;
+  virtual std::optional<std::string> members() { return std::nullopt; }  // nothing: nodes don't know of one another
 };
 
 struct Reply {
