--- a/src/members/engine.cpp
+++ b/src/members/engine.cpp
@@ -318,13 +318,15 @@
       st.since = now_;
     }
     const bool lost = majority_lost();
-    send(h.from, Welcome{cookie_for(h.from, 0), p.life, lost, lost ? lead() : kNone});
+    send(h.from, Welcome{cookie_for(h.from, 0), std::max(p.life, p.removed), h.life <= p.removed, lost, lost ? lead() : kNone});
   }
   void heard(const Header& h, const Welcome& w) {
     Node& p = nodes_[h.from];
     p.cookie = w.cookie, p.cookie_at = now_;
-    // A newer life of its own name is one before a clock went back, unless it has been a member itself.
-    if (view_.number == 0 && w.your_life > life_) life_ = w.your_life + 1;
+    // A newer life of its own name is one before a clock went back, unless it has been a member itself. It may also
+    // have been in a view, and out of it, that it never heard of.
+    if (!member() && ((view_.number == 0 && w.your_life > life_) || (w.spent && w.your_life >= life_)))
+      life_ = std::max(w.your_life, life_ + refuted_) + 1, refuted_ = 0;
     if (w.lost && w.lead < nodes_.size()) nodes_[w.lead].led_at = now_;
     if (w.lost && w.lead == h.from) p.led_at = now_;
   }
--- a/src/members/wire.h
+++ b/src/members/wire.h
@@ -96,9 +96,10 @@
 struct Welcome {
   std::uint32_t cookie = 0;
   std::uint64_t your_life = 0;  // the newest that was heard of
+  bool spent = false;           // it has left a view: a member again only as a new one
   bool lost = false;
   Index lead = kNone;  // the lowest of those that have lost the majority
-  MSGPACK_DEFINE(cookie, your_life, lost, lead)
+  MSGPACK_DEFINE(cookie, your_life, spent, lost, lead)
 };
 struct Statement {  // to those who may propose a change
   enum class What : std::uint8_t { accuses, clears, vouches, leaves };
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -88,7 +88,7 @@
   Engine e = engine(0, 9);
   std::knuth_b random(77);
   const std::vector<Body> bodies{Probe{3, true, true, {{News::What::suspect, 0, 5, 1, 2}}}, Ack{1, 2, true, {}}, Ask{1, 200},
-                                 Hello{1, true, "n", "z"}, Welcome{1, 2, true, 100000}, Statement{1, Statement::What::vouches, 900, 1, 1, "a", "b"},
+                                 Hello{1, true, "n", "z"}, Welcome{1, 2, true, true, 100000}, Statement{1, Statement::What::vouches, 900, 1, 1, "a", "b"},
                                  Heard{1}, Prepare{1, 2}, Promise{1, 2, 3, 4, 5}, Offer{0, 9, 9, 9, 900000, "zzz"}, Offered{1, 2, 3, true},
                                  Commit{9, 9}, Fetch{true, 0, 1, 1U << 31}, Piece{1, 70000, 5, "abc", true}};
   Tenths now = 2000;
