A toy fleet of three nodes, successors and new peers shown among processes, deciders not taken for deaf

Cause: at 1,000 nodes in the laboratory the fleet took over 60 s to come together: who had six statements to make at once counted six failures to hear and passed the deciders over for 3 s.

--- a/examples/toy_fleet.py
+++ b/examples/toy_fleet.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+import urllib.parse
 
 ADDRESS = "127.0.0.1"
 BACKENDS = {"s-one": 9001, "s-two": 9002, "s-three": 9003}
@@ -21,7 +22,10 @@
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        try:
+            self.wfile.write(body)
+        except ConnectionError:
+            pass  # a watch whose node has stopped
 
 
 class Backend(Quiet):
@@ -37,23 +41,29 @@
 
 class Discovery(Quiet):
     def do_GET(self):
-        if "index=1" in self.path:  # a watch: there is never any news after the first list
-            time.sleep(20)
+        asked = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query)
+        known = asked.get("index") == ["1"]
+        if known:  # a watch: there is never any news after the first list, so it ends when its time is over
+            time.sleep(min(60000, int(asked.get("wait", ["0"])[0])) / 1000)
         servers = [
             {"id": name, "addr": f"{ADDRESS}:{port}", "zone": "a", "kind": "toy", "cell": 0, "state": "ready",
              "weight": 1.0, "started_ms": 0}
             for name, port in BACKENDS.items()
         ]
-        changed = "index=1" not in self.path
-        self.answer(json.dumps({"version": 1, "full": changed, "servers": servers if changed else []}))
+        self.answer(json.dumps({"version": 1, "full": not known, "servers": [] if known else servers}))
 
 
-if __name__ == "__main__":
-    for port in BACKENDS.values():
-        server = http.server.ThreadingHTTPServer((ADDRESS, port), Backend)
+def start():
+    """Serves backends and discovery in threads of this process."""
+    for port, kind in [(p, Backend) for p in BACKENDS.values()] + [(DISCOVERY, Discovery)]:
+        server = http.server.ThreadingHTTPServer((ADDRESS, port), kind)
         threading.Thread(target=server.serve_forever, daemon=True).start()
+
+
+if __name__ == "__main__":
+    start()
     print("toy fleet is up; end it with Ctrl-C")
     try:
-        http.server.ThreadingHTTPServer((ADDRESS, DISCOVERY), Discovery).serve_forever()
+        threading.Event().wait()
     except KeyboardInterrupt:
         pass
--- a/src/members/engine.cpp
+++ b/src/members/engine.cpp
@@ -120,7 +120,8 @@
     bool gone = false, gone_left = false;
     std::uint64_t gone_life = 0, removed = 0;  // as it was shown; the newest life that left a view
     Tenths roll_heard = INT64_MIN / 2;  // the roll call that it last answered was sent
-    int tries = 0;                      // of statements that it did not hear
+    int tries = 0;                      // rounds of statements in which it heard none
+    Tenths tried_at = INT64_MIN / 2;
     Tenths deaf_until = 0;
   };
   struct Watched {
@@ -278,6 +279,7 @@
     Message& m = std::get<Message>(read);
     const Index from = m.header.from;
     if (from != came.from || from >= s_.roster || is_me(from)) { out_.dropped = Dropped::sender; return; }
+    out_.came = m.body.index();
     Node& p = nodes_[from];
     if (m.header.life < p.life) { out_.dropped = Dropped::old_life; return; }
     if (m.header.life > p.life) p.life = m.header.life, p.refuted = 0;
@@ -589,7 +591,11 @@
             hear(n, st.said), st.heard.insert(n);
             continue;
           }
-          if (++nodes_[n].tries > kTries) nodes_[n].deaf_until = now_ + kDeaf, nodes_[n].tries = 0;
+          // Rounds count, not statements: who has much to say at once would take all for deaf.
+          if (Node& p = nodes_[n]; now_ - p.tried_at >= kRetry) {
+            p.tried_at = now_;
+            if (++p.tries > kTries) p.deaf_until = now_ + kDeaf, p.tries = 0;
+          }
           send(n, st.said);
         }
       }
--- a/src/members/engine.h
+++ b/src/members/engine.h
@@ -76,6 +76,7 @@
   std::vector<Send> sends;
   std::vector<Note> notes;
   Dropped dropped = Dropped::none;  // the datagram that came had no effect
+  std::size_t came = 0;             // its kind, where it had one
 };
 
 enum class State { alive, suspect, dead, left };
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -43,7 +43,8 @@
 std::string PeerCounters::text() const {
   std::string out;
   const auto lines = [&](std::string_view prefix, const auto& called, const auto& counts) {
-    for (std::size_t i = 0; i < counts.size(); ++i) out += fmt::format("{}{} {}\n", prefix, called[i], counts[i].load());
+    for (std::size_t i = 0; i < counts.size(); ++i)
+      if (called[i] != std::string_view("none")) out += fmt::format("{}{} {}\n", prefix, called[i], counts[i].load());
   };
   lines("peers_sent_", kKindNames, sent);
   lines("peers_came_", kKindNames, came);
@@ -190,7 +191,7 @@
   const Output& out = engine_->decide(now(), event);
   if (std::holds_alternative<Came>(event)) {
     if (out.dropped != Dropped::none) ++counters_.dropped[static_cast<std::size_t>(out.dropped)];
-    else ++counters_.dropped[0];
+    else ++counters_.came[out.came];
   }
   for (const Send& s : out.sends) {
     if (s.to >= addresses_.size()) continue;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -165,6 +165,60 @@
   fleet.check_clients();
 }
 
+TEST_CASE("a successor on a passed socket is the same member, and new peers are taken up without a restart", "[fleet]") {
+  rig::Fleet fleet(4, 3);
+  fleet.await_one_view(3, {3});
+  fleet.pass_listener(1);
+  fleet.await_one_view(3, {3});
+  const std::uint64_t before = fleet.number(0), life = rig::Fleet::incarnation(fleet.members(0), 1);
+  CHECK(fleet.upgrade(1) == 0);
+  fleet.await_one_view(3, {3});
+  fleet.await_probes({0, 1, 2}, 30);
+  CHECK(fleet.number(0) == before);
+  CHECK(rig::Fleet::incarnation(fleet.members(0), 1) == life);
+
+  fleet.list_all();
+  fleet.start(3);
+  fleet.await_one_view(4);
+  fleet.check_clients();
+}
+
+TEST_CASE("a fleet file that can't be used is told in one line; without one nothing of it runs", "[fleet]") {
+  using stand_in::Malformed;
+  const auto refused = [](const std::string& membership) {
+    try {
+      stand_in::read_fleet("{\"membership\":{" + membership + "}}");
+    } catch (const Malformed& wrong) {
+      return std::string(wrong.what());
+    }
+    return std::string();
+  };
+  CHECK(refused("\"enabled\":true").empty());
+  CHECK(refused("\"probe_ms\":5") == "membership.probe_ms is not between 50 and 10000");
+  CHECK(refused("\"probe\":300") == "unknown key membership.probe");
+  CHECK(refused("\"enabled\":1") == "membership.enabled is neither true nor false");
+  CHECK(refused("\"reserve\":1.5") == "membership.reserve is not between 0 and 1");
+  CHECK(refused("\"answer_ms\":300") == "membership.answer_ms is not below membership.probe_ms");
+  CHECK(refused("\"lease_ms\":2000") == "membership.lease_ms is below three times membership.roll_call_ms");
+  CHECK_THROWS_AS(stand_in::read_fleet("[]"), Malformed);
+  CHECK_THROWS_AS(stand_in::read_fleet("{\"membership\":{"), Malformed);
+
+  stand_in::Fleet alone({stand_in::closed_port()});
+  CHECK_FALSE(alone.node.members());
+  CHECK(alone.node.counters_text().find("peers_") == std::string::npos);
+
+  // Peers that do not hold the node, or name one address twice, are no peers.
+  auto config = stand_in::config("{\"version\":1,\"full\":true,\"servers\":[]}", stand_in::closed_port());
+  config.fleet.membership.enabled = true;
+  config.peer_listen = "127.0.0.1:7";
+  config.peers = {"127.0.0.1:8"};
+  CHECK_THROWS_AS(stand_in::Node(config), Malformed);
+  config.peers = {"127.0.0.1:8", "127.0.0.1:7", "127.0.0.1:8"};
+  CHECK_THROWS_AS(stand_in::Node(config), Malformed);
+  config.peers = {};
+  CHECK_THROWS_AS(stand_in::Node(config), Malformed);
+}
+
 TEST_CASE("noise, truncated and replayed datagrams and other clusters have no effect", "[fleet]") {
   rig::Fleet fleet(3);
   fleet.await_one_view(3);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -3,6 +3,7 @@
 // backends keep count of what ran.
 #pragma once
 
+#include <fcntl.h>
 #include <poll.h>
 
 #include <map>
@@ -38,7 +39,13 @@
   REQUIRE(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
   return fd;
 }
-inline std::string free_udp() { return "127.0.0.1:" + std::to_string(port_of(udp_socket().get())); }
+// What a node listens on has a loopback address of the node's own: on the one that clients and relays connect from, a
+// port that was free a moment ago may be theirs by the time the node starts.
+inline std::string own_address(std::size_t n, bool datagrams) {
+  const std::string address = "127.1.0." + std::to_string(n + 1);
+  const Fd fd = datagrams ? udp_socket(address + ":0") : listen_on(parse_address(address + ":0"));
+  return address + ":" + std::to_string(port_of(fd.get()));
+}
 
 // What happens to datagrams from one node to another.
 struct Link {
@@ -50,7 +57,7 @@
 class Relays {
  public:
   explicit Relays(std::size_t nodes) : nodes_(nodes), sockets_(nodes * nodes), links_(nodes * nodes) {
-    for (std::size_t n = 0; n < nodes; ++n) at_.push_back(parse_address(free_udp()));
+    for (std::size_t n = 0; n < nodes; ++n) at_.push_back(parse_address(own_address(n, true)));
     for (std::size_t i = 0; i < nodes; ++i)
       for (std::size_t j = 0; j < nodes; ++j)
         if (i != j) sockets_[i * nodes + j] = udp_socket();
@@ -166,17 +173,18 @@
 
 class Fleet {
  public:
-  explicit Fleet(std::size_t nodes, const std::string& membership = "")
-      : relays_(nodes), backend_(backends_.handler()), discovery_([this](const Server::Call& call) { return lists(call); }),
-        together_("{\"membership\":{\"enabled\":true,\"cluster\":\"rig\",\"roll_call_ms\":500,\"lease_ms\":3000,\"lost_ms\":4000" + membership + "}}") {
+  // Only the first `listed` are among the peers and started at first; 0: all.
+  explicit Fleet(std::size_t nodes, std::size_t listed = 0)
+      : listed_(listed == 0 ? nodes : listed), relays_(nodes), backend_(backends_.handler()), discovery_([this](const Server::Call& call) { return lists(call); }),
+        together_("{\"membership\":{\"enabled\":true,\"cluster\":\"rig\",\"roll_call_ms\":500,\"lease_ms\":3000,\"lost_ms\":4000}}") {
     for (std::size_t n = 0; n < nodes; ++n) {
       auto one = std::make_unique<One>();
-      one->listen = closed_port(), one->mgmt = closed_port();
+      one->listen = own_address(n, false), one->mgmt = own_address(n, false);
       ones_.push_back(std::move(one));
     }
     for (std::size_t n = 0; n < nodes; ++n) {
       ones_[n]->file = std::make_unique<File>(text(n));
-      start(n);
+      if (n < listed_) start(n);
     }
     for (int c = 0; c < 3; ++c) clients_.run([this, c] { ask(static_cast<std::size_t>(c)); });
   }
@@ -186,6 +194,33 @@
       if (one->program) one->program->signal(SIGCONT);
     clients_.finish();
   }
+  // New files, and SIGHUP, for all that run: now all are listed.
+  void list_all() {
+    listed_ = size();
+    for (std::size_t n = 0; n < size(); ++n) {
+      ones_[n]->file->write(text(n));
+      if (ones_[n]->program) ones_[n]->program->signal(SIGHUP);
+    }
+  }
+  // A second process of a node that has its listener passed to it; the first is told to stop once it is ready.
+  int upgrade(std::size_t n) {
+    One& one = *ones_[n];
+    auto before = std::move(one.program);
+    one.mgmt = own_address(n, false);
+    start(n);
+    await([&] { return !get(n, "/v1/readyz").empty(); }, "the successor is ready");
+    ++one.disturbed;
+    before->signal(SIGTERM);
+    return before->exit_code();
+  }
+  void pass_listener(std::size_t n) {
+    One& one = *ones_[n];
+    if (one.program) kill(n);
+    one.folder = (std::filesystem::temp_directory_path() / ("troutstage-rig-" + std::to_string(::getpid()))).string();
+    std::filesystem::create_directories(one.folder);
+    one.listener = Fd(::fcntl(listen_on(parse_address(one.listen)).get(), F_DUPFD_CLOEXEC, 50));
+    start(n);
+  }
   std::size_t size() const { return ones_.size(); }
   Relays& relays() { return relays_; }
   const Backends& backends() const { return backends_; }
@@ -193,7 +228,8 @@
   void start(std::size_t n) {
     One& one = *ones_[n];
     one.program = std::make_unique<Program>(*one.file, std::vector<std::string>{"RELAY_MGMT=" + one.mgmt, "RELAY_NAME=n" + std::to_string(n),
-                                                                              "TROUTSTAGE_FLEET=" + together_.path(), "TSAN_OPTIONS=die_after_fork=0"});
+                                                                              "TROUTSTAGE_FLEET=" + together_.path(), "TMPDIR=" + one.folder},
+                                            one.listener ? one.listener.get() : -1);
     one.runs = true;
   }
   void kill(std::size_t n) {
@@ -292,7 +328,12 @@
 
  private:
   struct One {
-    std::string listen, mgmt;
+    ~One() {
+      program.reset();
+      if (!folder.empty()) std::filesystem::remove_all(folder);
+    }
+    std::string listen, mgmt, folder;
+    Fd listener;
     std::unique_ptr<File> file;
     std::unique_ptr<Program> program;
     std::atomic<bool> runs{false};
@@ -300,8 +341,9 @@
   };
   std::string text(std::size_t n) {
     std::string peers;
-    for (std::size_t k = 0; k < size(); ++k) peers += (k ? ",\"" : "\"") + relays_.peer(n, k) + "\"";
+    for (std::size_t k = 0; k < listed_; ++k) peers += (k ? ",\"" : "\"") + relays_.peer(n, k) + "\"";
     const std::string listed = list(1, true, {backend_.address()});
+    if (n >= listed_) peers += ",\"" + relays_.listen(n) + "\"";
     return replaced(config_text(listed, discovery_.address(), 256, ones_[n]->listen), "{\"name\":\"n0\",",
                     "{\"name\":\"n" + std::to_string(n) + "\",\"peer_listen\":\"" + relays_.listen(n) + "\",\"peers\":[" + peers + "],");
   }
@@ -335,6 +377,7 @@
     }
   }
 
+  std::size_t listed_;
   Relays relays_;
   Backends backends_;
   Server backend_, discovery_;
