--- a/src/config/fleet.cpp
+++ b/src/config/fleet.cpp
@@ -33,6 +33,8 @@
       if (!value.is_string() || value.get<std::string>().empty() || value.get<std::string>().size() > 64)
         throw Malformed(key + " is no text of 1 to 64 bytes");
       m.cluster = value.get<std::string>();
+    } else if (name == "self" && value == "name") {
+      m.self_by_name = true;
     } else if (name == "self") {
       const double n = ranged(value, key, 0, members::kMostNodes - 1);
       if (n != std::floor(n)) throw Malformed(key + " is no whole number");
--- a/src/config/fleet.h
+++ b/src/config/fleet.h
@@ -12,7 +12,8 @@
   struct Membership {
     bool enabled = false;
     std::string cluster = "default";  // nodes of another one are not heard
-    int self = -1;                    // the node's own place among the peers; -1: that of its own peer_listen
+    int self = -1;                    // the node's own place among the peers; -1: that of its own peer_listen,
+    bool self_by_name = false;        // or the number that its name ends with
     members::Timing timing;
     members::Sharing sharing;
   } membership;
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -57,10 +57,15 @@
   take(read(start_.peers));
   const sockaddr_in own = parse_address(start_.listen);
   setup_.node = kNone;
-  if (start_.membership.self >= 0) setup_.node = static_cast<Index>(start_.membership.self);
+  if (start_.membership.self_by_name) {
+    const std::size_t digits = start_.name.find_last_not_of("0123456789") + 1;
+    const std::string number = start_.name.substr(digits);
+    if (number.empty() || number.size() > 6) throw Malformed("membership.self is \"name\", but the name '" + start_.name + "' ends with no number");
+    setup_.node = static_cast<Index>(whole_number(number, "membership.self"));
+  } else if (start_.membership.self >= 0) setup_.node = static_cast<Index>(start_.membership.self);
   else if (const auto at = places_.find(key_of(own)); at != places_.end()) setup_.node = at->second;
   if (setup_.node >= addresses_.size())
-    throw Malformed("peers do not hold this node: give membership.self, its place among them, from 0 on");
+    throw Malformed("peers do not hold this node: membership.self tells its place among them, from 0 on");
   setup_.roster = static_cast<std::uint32_t>(addresses_.size());
   setup_.cluster = XXH32(start_.membership.cluster.data(), start_.membership.cluster.size(), 1);
   setup_.name = start_.name, setup_.zone = start_.zone;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -197,6 +197,8 @@
   CHECK(refused("\"probe_ms\":5") == "membership.probe_ms is not between 50 and 10000");
   CHECK(refused("\"probe\":300") == "unknown key membership.probe");
   CHECK(refused("\"enabled\":1") == "membership.enabled is neither true nor false");
+  CHECK(refused("\"self\":\"name\"").empty());
+  CHECK(refused("\"self\":\"n0\"") == "membership.self is no number");
   CHECK(refused("\"reserve\":1.5") == "membership.reserve is not between 0 and 1");
   CHECK(refused("\"answer_ms\":300") == "membership.answer_ms is not below membership.probe_ms");
   CHECK(refused("\"lease_ms\":2000") == "membership.lease_ms is below three times membership.roll_call_ms");
@@ -215,6 +217,12 @@
   CHECK_THROWS_AS(stand_in::Node(config), Malformed);
   config.peers = {"127.0.0.1:8", "127.0.0.1:7", "127.0.0.1:8"};
   CHECK_THROWS_AS(stand_in::Node(config), Malformed);
+  config.peers = {"127.0.0.1:8", "127.0.0.1:9"};
+  config.fleet.membership.self_by_name = true;
+  config.name = "node";
+  CHECK_THROWS_AS(stand_in::Node(config), Malformed);
+  config.name = "n2";  // there is no such place
+  CHECK_THROWS_AS(stand_in::Node(config), Malformed);
   config.peers = {};
   CHECK_THROWS_AS(stand_in::Node(config), Malformed);
 }
