--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <sstream>
 #include <system_error>
+#include <thread>
 
 #include "core/settings.h"
 #include "log/log.h"
@@ -190,10 +191,18 @@
   }
 }
 
-// The lock is held. Whatever the engine might throw on what came from outside must not end the thread.
+// The lock is held. Whatever the engine might throw on what came from outside must not end the thread: without it the
+// node would be missed.
 void Peers::decide(const MemberEvent& event) {
   if (!engine_ || !socket_) return;
-  const Output& out = engine_->decide(now(), event);
+  const Output* decided = nullptr;
+  try {
+    decided = &engine_->decide(now(), event);
+  } catch (const std::exception& broke) {
+    log::error("members: {}", broke.what());
+    return;
+  }
+  const Output& out = *decided;
   if (std::holds_alternative<Came>(event)) {
     if (out.dropped != Dropped::none) ++counters_.dropped[static_cast<std::size_t>(out.dropped)];
     else ++counters_.came[out.came];
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
