The rig checks that no request had a second answer, also at nodes that were disturbed

Read again: second answers were counted, but the count was looked at only where the node had not been stopped or killed meanwhile. The fleet tests pass with it; tests only, no code of the node.

--- a/tests/rig.h
+++ b/tests/rig.h
@@ -323,6 +323,7 @@
     const int before = answered_;
     await([&] { return answered_ >= before + 30; }, "clients' answers");
     CHECK(wrong_ == 0);
+    CHECK(doubled_ == 0);  // also from a node that was stopped or killed meanwhile
     CHECK(backends_.most_runs() <= 1);
   }
 
