A watch that falls silent is begun anew well before what it missed counts as told

All nodes call at once at their start, so most are turned away once or twice. Ruled out: the grace in the module (no send went out more than 0.5 s after a list had come), lists lost between two calls, lists that can't be read. Change: src/core/watch_pace decides the calls, with no I/O. They wait 0.75 to 1.25 s, drawn, and are given up 0.5 s later (2.5 s where the call begins a watch and may stand in line: with 1.5 s some left the line); after a silence or a move failed calls are repeated after 0.1 to 0.3 s for 6 s. Late answers lengthen the patience, never the wait. Also: a discovery that closes after each answer without waiting is no longer asked without end.

--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -56,6 +56,7 @@
   line("answers_flowed", answers_flowed);
   line("watches", watches);
   line("watches_failed", watches_failed);
+  line("watches_silent", watches_silent);
   line("reloads", reloads);
   line("reloads_failed", reloads_failed);
   return out;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -51,7 +51,7 @@
   Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0},
       turned_off_stopping{0}, answers_unread{0}, answers_cut{0}, bodies_flowed{0}, answers_flowed{0};
   std::array<Count, kBadNames.size()> bad{};  // requests, by what is wrong with them
-  Count watches{0}, watches_failed{0};
+  Count watches{0}, watches_failed{0}, watches_silent{0};  // begun; ended by anything but an answer; of those, silent
   Count reloads{0}, reloads_failed{0};
   AnswersByName answers;
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -100,7 +100,7 @@
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
-                                   known.version, [this] { stage_.came_up(); });
+                                   known.version, config_.settings.seed, [this] { stage_.came_up(); });
   paired_ = sibling_ && sibling_->is_successor();
   if (!known.entries.empty() && !(sibling_ && sibling_->is_successor())) stage_.came_up();
   balancer_.told(ListForm::cached, std::move(known.entries));
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -1,11 +1,13 @@
 // Follows discovery's list for the decisions, for as long as they want it watched.
 #pragma once
 
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
 
 #include "core/balancer.h"
+#include "core/watch_pace.h"
 #include "net/counters.h"
 #include "net/directory.h"
 #include "net/shutter.h"
@@ -15,9 +17,9 @@
 class Watch {
  public:
   Watch(core::Balancer& balancer, Directory& directory, Counters& counters, const sockaddr_in& discovery,
-        std::int64_t version, std::function<void()> on_list = {})
+        std::int64_t version, std::uint64_t seed, std::function<void()> on_list = {})
       : balancer_(balancer), directory_(directory), counters_(counters), discovery_(discovery),
-        version_(version), on_list_(std::move(on_list)) {}
+        version_(version), pace_(seed), on_list_(std::move(on_list)) {}
   void run();                               // until stop() here and at the balancer
   void stop();                              // ends a call that is out
   void move(const sockaddr_in& discovery);  // the same, and goes on at another place from its whole list on
@@ -25,18 +27,22 @@
  private:
   static constexpr std::int64_t kWholeList = -1;  // no version is known
 
-  void follow();  // until a call fails
-  bool calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter);
+  using Was = core::WatchPace::Was;
+  void follow();  // until a call fails and the pace leaves the next to the decisions
+  void pause(std::chrono::microseconds time);  // unless it is over, or goes on at another place
+  Was calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter);
 
   core::Balancer& balancer_;
   Directory& directory_;
   Counters& counters_;
-  std::mutex lock_;  // over the place, how to end its calls, and whether it is over
+  std::mutex lock_;  // over the place, how to end its calls, and whether it is over; told of by changed_
+  std::condition_variable changed_;
   sockaddr_in discovery_;
   std::shared_ptr<Shutter> shutter_ = std::make_shared<Shutter>();  // a new one for each place
   bool moved_ = false, stopped_ = false;
-  std::int64_t version_;              // this and the next: used by run() alone
-  std::chrono::milliseconds wait_{};  // what discovery is asked to wait for news
+  std::int64_t version_;  // this and the next two: used by run() alone
+  core::WatchPace pace_;
+  core::WatchPace::Next next_ = pace_.first();
   const std::function<void()> on_list_;  // after each list that was told
 };
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/balancer.h"
 #include "core/lanes.h"
+#include "core/watch_pace.h"
 
 using namespace troutstage;
 using namespace troutstage::core;
@@ -283,3 +284,57 @@
   CHECK(step.what == Next::hand_off);
   CHECK(step.backend == 0);
 }
+
+// What the protocol counts as told by the clock: 6 s after the silence, or 2 s after the wait that was asked for.
+TEST_CASE("whatever came before it, a watch that falls silent is begun anew well before its news counts as told", "[core]") {
+  // Turned away once or twice at its start a node asked for waits of 6 and 12 s, and called again just when it counted as
+  // told, at its leisure: requests went to backends that had long been listed as draining.
+  using Was = WatchPace::Was;
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    WatchPace pace(seed);
+    Tenths now = 0;
+    WatchPace::Next next = pace.first();
+    for (std::uint64_t n = 0; n < seed % 5; ++n) next = pace.after(now += 5000, Was::turned_away);
+    for (std::uint64_t n = 0; n < seed % 3; ++n) next = pace.after(now += next.wait, Was::answered);
+    const Tenths told = std::max<Tenths>(60000, next.wait + 20000);
+    const Tenths noticed = next.wait + next.patience;
+    CHECK(noticed <= told - 20000);  // a fleet of hundreds does not get through to a small discovery at once
+    Tenths at = noticed;
+    int calls = 0;
+    for (next = pace.after(now + at, Was::silent); next.asks_again && at + next.pause < told; next = pace.after(now + at, Was::turned_away))
+      at += next.pause, ++calls;
+    CHECK(at > told - 3000);  // it goes on until then
+    CHECK(calls >= 7);
+  }
+}
+
+TEST_CASE("calls that begin a watch are left to the decisions unless news may be overdue", "[core]") {
+  using Was = WatchPace::Was;
+  WatchPace pace(1);
+  CHECK_FALSE(pace.after(0, Was::turned_away).asks_again);
+  CHECK_FALSE(pace.after(0, Was::lost).asks_again);
+  const auto goes_on = pace.after(0, Was::answered);
+  CHECK((goes_on.asks_again && goes_on.pause == 0));
+  const auto anew = pace.after(0, Was::lost);  // between two calls
+  CHECK((anew.asks_again && anew.pause == 0));
+  CHECK(anew.patience > goes_on.patience);  // it may have to stand in line
+  CHECK_FALSE(pace.after(0, Was::lost).asks_again);
+  CHECK(pace.after(100, Was::moved).asks_again);
+  CHECK(pace.after(40000, Was::turned_away).asks_again);
+  CHECK_FALSE(pace.after(100000, Was::turned_away).asks_again);
+}
+
+TEST_CASE("a discovery that is slow to answer is soon waited for, not asked to begin ever new watches", "[core]") {
+  using Was = WatchPace::Was;
+  WatchPace pace(1);
+  const Tenths late = 12000;  // so long after the wait each answer comes
+  int begun = 1;
+  auto next = pace.first();
+  for (Tenths now = 0; now < 600000;) {
+    const bool in_time = late <= next.patience;
+    now += next.wait + (in_time ? late : next.patience);
+    if (!in_time) ++begun;
+    next = pace.after(now, in_time ? Was::answered : Was::silent);
+  }
+  CHECK(begun <= 30);  // 270 calls in a minute
+}
