--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <future>
+#include <mutex>
 #include <thread>
 
 #include "net/http.h"
@@ -38,6 +39,24 @@
   std::shared_future<void> got_ = done_.get_future().share();
 };
 
+// What handlers wrote down, in order. A stand-in's calls go on while a test reads of the earlier ones.
+template <typename T>
+class Notes {
+ public:
+  void add(T one) {
+    std::lock_guard held(lock_);
+    all_.push_back(std::move(one));
+  }
+  std::vector<T> read() const {
+    std::lock_guard held(lock_);
+    return all_;
+  }
+
+ private:
+  mutable std::mutex lock_;
+  std::vector<T> all_;
+};
+
 // A server whose every request goes to a handler; the bytes that it returns are written, and the connection
 // is closed after them unless they are a whole answer that keeps it.
 class Server {
