A list's age among the counters; 1200 servers and 1200 peers tested; no unsigned wrap with few descriptors

Need: how old a node's list is could not be seen from outside, though a silent discovery shows nowhere else. list_age_ms counts from the last list or answer without changes; -1 before the first. Peers that are no text were left out in silence, which gave all after them another's number; with fewer descriptors than a node needs for itself (limits.sockets 32 with the operators' door) the budget wrapped to no limit at all. Checked: no cap below 1024 was met with 1200 servers (whole lists, lists of changes, drains of 1100) or with 1200 and 1500 peers.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -64,7 +64,7 @@
     c.peer_listen = json.value("peer_listen", "");
     if (json.contains("peers") && json.at("peers").is_array())
       for (const Json& one : json.at("peers"))
-        if (one.is_string()) c.peers.push_back(one.get<std::string>());
+        c.peers.push_back(one.is_string() ? one.get<std::string>() : one.dump());  // left out, the others' places would be wrong
     if (json.contains("known")) c.known = json.at("known").dump();
     if (json.contains("limits")) {
       c.descriptors = json.at("limits").value("sockets", c.descriptors);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <chrono>
+
 namespace troutstage::net {
 
 std::shared_ptr<Answers> AnswersByName::of(const std::string& workload) {
@@ -21,9 +24,23 @@
   return all;
 }
 
+namespace {
+
+std::int64_t steady_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+void Counters::list_came() { list_at = steady_ms(); }
+std::int64_t Counters::list_age_ms() const {
+  const std::int64_t came = list_at;
+  return came < 0 ? -1 : std::max<std::int64_t>(0, steady_ms() - came);
+}
+
 std::string Counters::text() const {
   std::string out;
-  const auto line = [&](std::string_view name, std::uint64_t figure) {
+  const auto line = [&](std::string_view name, auto figure) {
     out += fmt::format("{} {}\n", name, figure);
   };
   // What is in work is read before and what came is read after, so that no sum looks too large for a moment.
@@ -33,32 +50,33 @@
   const std::uint64_t came = taken, sent = handed_off;
   line("taken", came);
   line("held", came - answered);
-  line("succeeded", succeeded);
-  line("rejected", rejected);
-  line("given_up", given_up);
-  line("client_gone", client_gone);
-  line("broke_inside", broke_inside);
+  line("succeeded", succeeded.load());
+  line("rejected", rejected.load());
+  line("given_up", given_up.load());
+  line("client_gone", client_gone.load());
+  line("broke_inside", broke_inside.load());
   line("handed_off", sent);
   line("out", sent - over);
-  line("written", written);
-  for (std::size_t i = 0; i < ended.size(); ++i) line(fmt::format("ended_{}", kEndedNames[i]), ended[i]);
-  line("connections_taken", connections_taken);
-  line("accepts_failed", accepts_failed);
-  line("connections_opened", connections_opened);
+  line("written", written.load());
+  for (std::size_t i = 0; i < ended.size(); ++i) line(fmt::format("ended_{}", kEndedNames[i]), ended[i].load());
+  line("connections_taken", connections_taken.load());
+  line("accepts_failed", accepts_failed.load());
+  line("connections_opened", connections_opened.load());
   line("bad_requests", bad_requests());
   for (std::size_t i = 0; i < bad.size(); ++i)
-    if (bad[i] > 0) line(fmt::format("bad_{}", kBadNames[i]), bad[i]);
-  line("turned_off_full", turned_off_full);
-  line("turned_off_stopping", turned_off_stopping);
-  line("answers_unread", answers_unread);
-  line("answers_cut", answers_cut);
-  line("bodies_flowed", bodies_flowed);
-  line("answers_flowed", answers_flowed);
-  line("watches", watches);
-  line("watches_failed", watches_failed);
-  line("watches_silent", watches_silent);
-  line("reloads", reloads);
-  line("reloads_failed", reloads_failed);
+    if (bad[i] > 0) line(fmt::format("bad_{}", kBadNames[i]), bad[i].load());
+  line("turned_off_full", turned_off_full.load());
+  line("turned_off_stopping", turned_off_stopping.load());
+  line("answers_unread", answers_unread.load());
+  line("answers_cut", answers_cut.load());
+  line("bodies_flowed", bodies_flowed.load());
+  line("answers_flowed", answers_flowed.load());
+  line("watches", watches.load());
+  line("watches_failed", watches_failed.load());
+  line("watches_silent", watches_silent.load());
+  line("list_age_ms", list_age_ms());
+  line("reloads", reloads.load());
+  line("reloads_failed", reloads_failed.load());
   return out;
 }
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -52,9 +52,12 @@
       turned_off_stopping{0}, answers_unread{0}, answers_cut{0}, bodies_flowed{0}, answers_flowed{0};
   std::array<Count, kBadNames.size()> bad{};  // requests, by what is wrong with them
   Count watches{0}, watches_failed{0}, watches_silent{0};  // begun; ended by anything but an answer; of those, silent
+  std::atomic<std::int64_t> list_at{-1};  // of the steady clock, in ms: when discovery last answered with a list; -1: never
   Count reloads{0}, reloads_failed{0};
   AnswersByName answers;
 
+  void list_came();
+  std::int64_t list_age_ms() const;  // -1: none has come yet
   void count(Ended how) { ++ended[static_cast<std::size_t>(how)]; }
   std::uint64_t bad_requests() const;
   std::string text() const;  // a line for each: its name and figure
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -31,8 +31,8 @@
 // Where another process may run beside this one, what each needs for itself is set aside for both at all times.
 std::size_t budgeted(const Config& config) {
   const std::size_t own = kOwnDescriptors + config.own_descriptors + reserve(config);
-  if (config.passed_socket < 0) return config.descriptors - own;
-  return std::max<std::size_t>(8, config.descriptors - std::min(config.descriptors, 2 * (own + kForTwo)));
+  const std::size_t set_aside = config.passed_socket < 0 ? own : 2 * (own + kForTwo);
+  return std::max<std::size_t>(8, config.descriptors - std::min(config.descriptors, set_aside));
 }
 
 // Where a successor can't reach discovery it serves with the list that it was started with.
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -115,6 +115,7 @@
     const Listing list = directory_.read(r.body, balancer_.released());
     version_ = list.hides ? kWholeList : list.version;
     log::debug("list {} {} with {} entries", list.version, list.full ? "full" : "delta", list.entries.size());
+    counters_.list_came();
     const bool news = list.full || !list.entries.empty();
     balancer_.told(list.full ? ListForm::full : ListForm::delta, list.entries);
     if (on_list_) on_list_();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "net/exchange.h"
+#include "net/peers.h"
 #include "stand_in.h"
 
 using namespace stand_in;
@@ -835,6 +836,73 @@
   CHECK(asked[2] == "GET /discovery/hosts?index=2");
 }
 
+TEST_CASE("each drain of 1200 servers is kept, in the whole list and in lists of changes", "[net]") {
+  // Two backends stand for all of them: those numbered from 100 on leave.
+  Server stays(always(ok("stays"))), leaves(always(ok("leaves")));
+  constexpr int kAll = 1200, kLeave = 100;
+  const auto servers = [&](std::int64_t version, bool full, int from, const char* late_ones) {
+    std::string entries;
+    for (int i = from; i < kAll; ++i)
+      entries += (i == from ? "" : ",") + entry("server-" + std::to_string(i), (i < kLeave ? stays : leaves).address(), i < kLeave ? "ready" : late_ones);
+    return "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[" + entries + "]}";
+  };
+  Registry discovery;
+  Node node(config(list(1, true, {}), discovery.address()));
+  node.start();
+  Visitor visitor(node);
+  const auto goes_there = [&] {  // of many requests at least one
+    const int before = leaves.calls();
+    for (int n = 0; n < 400 && leaves.calls() == before; ++n) REQUIRE(visitor.ask(request("view")).status == 200);
+    return leaves.calls() > before;
+  };
+  discovery.tell(2, servers(2, true, 0, "ready"));
+  discovery.await_heard(2);
+  CHECK(goes_there());
+  discovery.tell(3, servers(3, false, kLeave, "draining"));
+  discovery.await_heard(3);
+  CHECK_FALSE(goes_there());
+  discovery.tell(4, servers(4, false, kLeave, "ready"));
+  discovery.await_heard(4);
+  CHECK(goes_there());
+  discovery.tell(5, servers(5, true, 0, "draining"));
+  discovery.await_heard(5);
+  CHECK_FALSE(goes_there());
+  CHECK(node.figures().listed == kAll);
+  CHECK(node.figures().avoided == kAll - kLeave);
+  CHECK(node.counters().list_age_ms() >= 0);
+}
+
+TEST_CASE("a configuration's 1200 peers are read and used, and more than can be numbered are refused", "[net]") {
+  std::string own = closed_port();
+  const auto peers = [&](int count) {
+    std::string all = "\"" + own + "\"";
+    for (int i = 1; i < count; ++i) all += ",\"127.1." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":7946\"";
+    return all;
+  };
+  const auto read = [&](const std::string& all) {
+    return read_config(replaced(config_text("[]", "127.0.0.1:1"), "{\"name\"", "{\"peer_listen\":\"" + own + "\",\"peers\":[" + all + "],\"name\""));
+  };
+  const auto start = [&](const Config& c) { return Peers::Start{c.name, c.zone, c.peer_listen, c.peers, {}, 0, "", false}; };
+  const Config config = read(peers(1200));
+  REQUIRE(config.peers.size() == 1200);
+  Peers there(start(config), [](int) {});
+  std::thread runs([&] { there.run(); });
+  // It asks round from the first to the last, of whom nobody is there.
+  const auto hellos = [&] { return there.counters().sent[3].load(); };
+  REQUIRE(std::string(members::kKindNames[3]) == "hello");
+  const Moment until = soon(20000);
+  while (hellos() < 8 && Moment::clock::now() < until) std::this_thread::yield();
+  CHECK(hellos() >= 8);
+  there.move(read(peers(1500)).peers);
+  CHECK_THROWS_AS(there.move(read(peers(2001)).peers), Malformed);
+  there.stop();
+  runs.join();
+  // One that is no text keeps its place, so that nobody takes another's number, and is refused where peers are used.
+  const Config odd = read(peers(2) + ",7");
+  CHECK(odd.peers.size() == 3);
+  CHECK_THROWS_AS(Peers(start(odd), [](int) {}), Malformed);
+}
+
 TEST_CASE("numbers, lives and connections of gone backends are free again, however many there were",
           "[net]") {
   Names names;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <condition_variable>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -187,6 +188,43 @@
          workload("view", "repeatable") + "," + workload("order", "by_key") + "," + workload("pay", "once") +
          "]}}";
 }
+// Discovery as it should be: a call waits for what is newer than its version, for as long as it says.
+class Registry {
+ public:
+  void tell(std::int64_t version, std::string text) {
+    std::lock_guard held(lock_);
+    version_ = version, text_ = std::move(text);
+    changed_.notify_all();
+  }
+  // Until a node has called with that version in its hands: it was told of all before.
+  void await_heard(std::int64_t version) {
+    std::unique_lock held(lock_);
+    REQUIRE(changed_.wait_for(held, std::chrono::seconds(20), [&] { return heard_ >= version; }));
+  }
+  std::string address() const { return server_.address(); }
+
+ private:
+  std::string answer(const Server::Call& call) {
+    const auto figure = [&](const std::string& key) {
+      const std::size_t at = call.head.find(key);
+      return at == call.head.npos ? -1 : std::stoll(call.head.substr(at + key.size()));
+    };
+    const std::int64_t index = figure("index="), wait = std::max<std::int64_t>(0, figure("wait="));
+    const Moment until = soon(static_cast<int>(wait));
+    std::unique_lock held(lock_);
+    heard_ = std::max(heard_, index);
+    changed_.notify_all();
+    while (version_ <= index && Moment::clock::now() < until && !call.server.stopping()) changed_.wait_for(held, milliseconds(20));
+    return ok(version_ > index ? text_ : list(index, false, {}));
+  }
+
+  std::mutex lock_;
+  std::condition_variable changed_;
+  std::int64_t version_ = 0, heard_ = -1;
+  std::string text_;
+  Server server_{[this](const Server::Call& call) { return answer(call); }};  // last: it ends before what it uses
+};
+
 // A configuration's file, gone with this.
 class File {
  public:
