Membership: views formed anew are explored in every order of words, and come one after another

Change in the engine: a name's word for a view formed anew is given for one text of it (floor_hash_), is not counted by its own older attempt, and is not taken back within two attempts' time; a maker whose clock is behind is told over which number to go; numbers begin with milliseconds, so that another process of a name is later than what the one before it accepted; who holds a view formed by a clock that was ahead, while a majority goes on under an older number, begins anew as another life. Version 2 of the datagrams. A process leaves its whole state to the next up to any size (64 KB before), and rumours have as many places as there are peers (64 before). `have` of the assembly is gone.

--- a/src/lab/command.cpp
+++ b/src/lab/command.cpp
@@ -187,8 +187,10 @@
   auto add = all.add_options();
   add("nodes", options::value<std::uint32_t>()->default_value(3), "3 or 4");
   add("depth", options::value<int>()->default_value(9), "steps, 1 to 60");
+  add("forms", options::value<int>()->default_value(0), "times that a node which has lost the majority forms a view anew, 0 to 3");
   add("proposals", options::value<int>()->default_value(2), "changes that are proposed, each by another node, 1 to 3");
   add("doubled", options::value<int>()->default_value(1), "messages that come twice, 0 to 5");
+  add("lost", "all have lost the majority from the start, for --forms");
   add("no-crash", "no node crashes and comes back");
   add("help", "this");
   options::variables_map given;
@@ -197,16 +199,17 @@
     std::cout << all;
     return 0;
   }
-  Exploration what{given["nodes"].as<std::uint32_t>(), given["depth"].as<int>(), given["proposals"].as<int>(), given["doubled"].as<int>(), given.count("no-crash") == 0, 20000000};
+  Exploration what{given["nodes"].as<std::uint32_t>(), given["depth"].as<int>(), given["proposals"].as<int>(), given["doubled"].as<int>(), given.count("no-crash") == 0, 20000000, given["forms"].as<int>(), given.count("lost") > 0};
   if (what.nodes < 3 || what.nodes > 4) throw Malformed("--nodes is not 3 or 4");
   if (what.depth < 1 || what.depth > 60) throw Malformed("--depth is not between 1 and 60");
-  if (what.proposals < 1 || what.proposals > 3) throw Malformed("--proposals is not between 1 and 3");
+  if (what.proposals < 0 || what.proposals > 3) throw Malformed("--proposals is not between 0 and 3");
+  if (what.forms < 0 || what.forms > 3) throw Malformed("--forms is not between 0 and 3");
   if (what.doubled < 0 || what.doubled > 5) throw Malformed("--doubled is not between 0 and 5");
   const auto began = std::chrono::steady_clock::now();
   try {
     const Explored o = explore(what);
-    std::cout << Json{{"nodes", what.nodes}, {"depth", what.depth}, {"proposals", what.proposals}, {"doubled", what.doubled}, {"crash", what.crash},
-                      {"states", o.states}, {"steps", o.steps}, {"agreed", o.agreed}, {"whole", o.whole},
+    std::cout << Json{{"nodes", what.nodes}, {"depth", what.depth}, {"proposals", what.proposals}, {"doubled", what.doubled}, {"crash", what.crash}, {"forms", what.forms}, {"lost", what.lost},
+                      {"states", o.states}, {"steps", o.steps}, {"agreed", o.agreed}, {"formed", o.formed}, {"whole", o.whole},
                       {"real_seconds", std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count()}}.dump() << "\n";
     return 0;
   } catch (const Broken& what_broke) {
--- a/src/lab/explore.h
+++ b/src/lab/explore.h
@@ -14,9 +14,12 @@
   int doubled = 1;      // messages that come twice, in one run
   bool crash = true;
   std::uint64_t most_states = 20000000;
+  int forms = 0;  // times that a node which has lost the majority forms a view anew; any may lose it, once each
+  bool lost = false;  // all have lost it from the start
 };
 struct Explored {
   std::uint64_t states = 0, steps = 0, agreed = 0;  // agreed: states in which some node holds a new view
+  std::uint64_t formed = 0;                         // ... that was formed anew
   bool whole = true;  // all within the depth were seen
 };
 
--- a/src/lab/members_world.cpp
+++ b/src/lab/members_world.cpp
@@ -221,6 +221,11 @@
     Machine& m = machines_[n];
     const View& v = m.engine->view();
     if (v.number == m.number) return;
+    // One that begins anew, as another life, holds nothing.
+    if (const std::uint64_t incarnation = m.engine->status(now_).incarnation; v.number == 0 && incarnation > m.incarnation) {
+      m.number = 0, m.incarnation = incarnation;
+      return tell(fmt::format("n{} begins anew", n));
+    }
     if (v.number < m.number) broken(fmt::format("view numbers only rise: n{} went from {} to {}", n, m.number, v.number));
     const auto [at, fresh] = views_.try_emplace(v.number, v);
     if (!fresh && !(at->second == v)) broken(fmt::format("one set a view number: n{} holds another under {}", n, v.number));
--- a/src/members/engine.cpp
+++ b/src/members/engine.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t kDeciders = 3;  // told of what is seen
 constexpr int kMostStrain = 4;
 constexpr Tenths kFirstBack = 10000, kMostBack = 300000;  // before one that was removed asks to come back
-constexpr std::size_t kMostRumours = 64, kNewsEach = 3, kKeptBlobs = 12;
-constexpr Tenths kEpochMs = 1704067200000;  // 2024 began, Unix time in milliseconds
+constexpr std::size_t kLeastRumours = 64, kNewsEach = 3, kKeptBlobs = 12;
+constexpr std::uint64_t kEpochMs = 1704067200000;  // 2024 began, Unix time in milliseconds
 
 std::uint64_t hash_of(std::string_view bytes) { return XXH64(bytes.data(), bytes.size(), 0); }
 
@@ -52,7 +52,8 @@
 
   const View& view() const { return view_; }
   std::uint64_t agreeing() const {
-    std::vector<std::uint64_t> all{view_.number, life_, promised_, accepted_, accepted_hash_, floor_, round_, offered_first_};
+    std::vector<std::uint64_t> all{view_.number, life_, promised_, accepted_, accepted_hash_, floor_, floor_hash_, round_, offered_first_,
+                                   formed_at_, majority_lost()};
     if (attempt_) {
       const Attempt& a = *attempt_;
       all.insert(all.end(), {a.forms, a.prepares, a.no_change, a.ballot, a.number, a.hash, a.best, a.best_hash});
@@ -61,6 +62,9 @@
     all.push_back(offer_ ? offer_->offer.hash ^ offer_->offer.ballot : 0);
     return XXH64(all.data(), all.size() * sizeof all[0], 2);
   }
+  std::uint64_t stands_by() const {
+    return floor_ > view_.number ? floor_ : member() && accepted_ != 0 ? view_.number + 1 : view_.number;
+  }
   bool accuses_any() const {
     return std::any_of(standing_.begin(), standing_.end(),
                        [](const auto& s) { return s.second.said.what == Statement::What::accuses; });
@@ -99,10 +103,10 @@
   std::string snapshot() const {
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> out(buffer);
-    out.pack_array(9);
+    out.pack_array(10);
     out.pack(life_).pack(refuted_).pack(nonce_).pack(statement_id_).pack(floor_).pack(promised_).pack(accepted_);
     out.pack(accepted_ != 0 ? blob(accepted_hash_) : std::string());
-    out.pack(view_.number != 0 ? members::encode(whole(view_)) : std::string());
+    out.pack(view_.number != 0 ? members::encode(whole(view_)) : std::string()).pack(floor_hash_);
     return {buffer.data(), buffer.size()};
   }
 
@@ -161,7 +165,6 @@
     std::string bytes;
     Index from = kNone;
     Tenths asked = 0, since = 0;
-    std::uint64_t have = 0;
   };
   struct Rumour {
     News news;
@@ -272,6 +275,11 @@
     start(c);
   }
 
+  void take(const FormAnew& f) {
+    if (!majority_lost() || attempt_ || f.together.size() < wide() / 2 + 1) return;
+    form(f.together);
+  }
+
   // --- what comes
   void take(const Came& came) {
     auto read = decode(came.bytes, s_.cluster);
@@ -347,6 +355,9 @@
     // have been in a view, and out of it, that it never heard of.
     if (!member() && ((view_.number == 0 && w.your_life > life_) || (w.spent && w.your_life >= life_)))
       life_ = std::max(w.your_life, life_ + refuted_) + 1, refuted_ = 0;
+    // A majority goes on under an older number: this node's own view was formed by one whose clock was ahead, and those
+    // that held it have been started anew since. It could never be told of what they agree on.
+    if (!w.lost && h.number != 0 && h.number < view_.number && static_cast<Tenths>(h.age) * 8 < s_.sharing.lease && majority_lost()) begin_anew();
     if (w.lost && w.lead < nodes_.size()) nodes_[w.lead].led_at = now_;
     if (w.lost && w.lead == h.from) p.led_at = now_;
   }
@@ -370,7 +381,11 @@
   }
   void heard(const Header& h, const Promise& p) { promised_by(h.from, h.life, p); }
   void heard(const Header& h, const Offer& offer) {
-    if (!offer_stands(h.from, h.life, offer)) return;
+    if (!offer_stands(h.from, h.life, offer)) {
+      // Its maker's clock may be behind: it is told over which number the next one has to be.
+      if (offer.base == 0 && offer.number <= std::max(view_.number, floor_)) send(h.from, Offered{0, offer.ballot, std::max(view_.number, floor_), false});
+      return;
+    }
     keep_piece(h.from, offer.hash, offer.size, 0, offer.piece);
     offer_ = {h.from, offer};
     answer_offer();
@@ -508,7 +523,7 @@
   void spread(const News& news) {
     std::erase_if(rumours_, [&](const Rumour& r) { return r.news.node == news.node && (news.by == r.news.by || r.news.refuted < news.refuted); });
     rumours_.push_front({news, 0});
-    if (rumours_.size() > kMostRumours) rumours_.pop_back();
+    if (rumours_.size() > std::max<std::size_t>(kLeastRumours, s_.roster)) rumours_.pop_back();  // as many as there are peers
   }
   std::vector<News> take_news() {
     std::vector<News> taken;
@@ -813,11 +828,28 @@
     backoff_until_ = now_ + kRetry / 2 + draw(static_cast<std::uint32_t>(2 * kRetry));
   }
 
+  // As another process of its name: what it has promised and accepted holds for nobody any more.
+  void begin_anew() {
+    life_ += refuted_ + 1, refuted_ = 0;
+    view_ = {};
+    promised_ = accepted_ = accepted_hash_ = floor_ = floor_hash_ = 0, accepted_at_ = 0, round_ = 0, offered_first_ = false;
+    attempt_.reset(), offer_.reset();
+    tally_.clear(), vouched_.clear(), last_said_.clear(), standing_.clear();
+    newest_at_ = installed_at_ = INT64_MIN / 2;
+    parts_.installed(now_, 0, false, 0);
+    watch_anew();
+  }
+
   // Whether an offer may still be accepted here. One that forms a view anew needs a majority of all names, each of
   // which has lost what it had: no older view has a majority that holds to it then, or ever again.
   bool offer_stands(Index from, std::uint64_t life, const Offer& o) const {
-    if (o.base == 0)
-      return o.number > view_.number && o.number >= floor_ && (majority_lost() || floor_ == o.number);
+    if (o.base == 0) {
+      if (o.number <= view_.number || o.number < floor_ || (o.number == floor_ && o.hash != floor_hash_)) return false;
+      if (o.number == floor_) return true;
+      // Who asked for what was accepted here a moment ago may still count on that word.
+      const bool given = accepted_ != 0 || (floor_ > view_.number && formed_by(floor_) != formed_by(o.number));
+      return majority_lost() && (!given || now_ - accepted_last_ > 2 * kAttempt);
+    }
     return o.base == view_.number && o.number == o.base + 1 && floor_ <= view_.number && member() &&
            view_.has(from, life) && o.ballot >= promised_;
   }
@@ -842,9 +874,11 @@
   Offered accept(const Offer& o, const std::string& bytes) {
     keep_blob(o.hash, bytes);
     if (o.base == 0) {
-      floor_ = o.number;
+      floor_ = o.number, floor_hash_ = o.hash, accepted_last_ = now_;
+      // Its own word for an older one must not be counted after this.
+      if (attempt_ && attempt_->number != o.number) attempt_.reset();
     } else {
-      promised_ = accepted_ = o.ballot;
+      promised_ = accepted_ = o.ballot, accepted_last_ = now_;
       if (accepted_hash_ != o.hash || accepted_at_ == 0) accepted_at_ = now_;
       accepted_hash_ = o.hash;
     }
@@ -853,7 +887,8 @@
   void offered_by(Index from, std::uint64_t life, const Offered& o) {
     if (!attempt_ || attempt_->prepares || o.base != attempt_->base || o.ballot != attempt_->ballot || !may_speak(from, life)) return;
     if (!o.accepted) {
-      if (o.promised > o.ballot) outbid(o.promised);
+      if (attempt_->forms && o.promised >= o.ballot) formed_at_ = std::max(formed_at_, formed_at(o.promised)), attempt_.reset();
+      else if (o.promised > o.ballot) outbid(o.promised);
       return;
     }
     attempt_->yes.insert(from);
@@ -908,7 +943,7 @@
     n.number = view_.number, n.size = view_.members.size();
     out_.notes.push_back(std::move(n));
     promised_ = accepted_ = accepted_hash_ = 0, accepted_at_ = 0, round_ = 0, offered_first_ = false;
-    floor_ = std::max(floor_, view_.number);
+    if (view_.number > floor_) floor_ = view_.number, floor_hash_ = 0;
     attempt_.reset();
     tally_.clear(), vouched_.clear(), last_said_.clear();
     due_since_ = INT64_MAX, unsettled_at_ = INT64_MIN / 2, acting_ = false;
@@ -1038,24 +1073,26 @@
     if (attempt_ && !attempt_->forms) attempt_.reset();  // nobody is left to accept it
     if (attempt_ || now_ < backoff_until_ || now_ < sane_from_ - timing().suspect || lead() != s_.node) return;
     std::vector<Member> together{{s_.node, life_, s_.name, s_.zone}};
-    std::uint64_t newest_life = life_;
     for (Index n = 0; n < s_.roster; ++n)
-      if (!is_me(n) && now_ - nodes_[n].lost_at < kRecent) {
-        together.push_back({n, nodes_[n].life, nodes_[n].name, nodes_[n].zone});
-        newest_life = std::max(newest_life, nodes_[n].life);
-      }
+      if (!is_me(n) && now_ - nodes_[n].lost_at < kRecent) together.push_back({n, nodes_[n].life, nodes_[n].name, nodes_[n].zone});
     if (together.size() < wide() / 2 + 1) { gathered_ = 0; return; }
     if (together.size() != gathered_) gathered_ = together.size(), gathered_at_ = now_, gather_since_ = std::min(gather_since_, now_);
     if (gathered_ < s_.roster && now_ - gathered_at_ < 2 * kQuietJoin && now_ - gather_since_ < kGather) return;
     gathered_ = 0, gather_since_ = INT64_MAX;
+    form(std::move(together));
+  }
+  void form(std::vector<Member> together) {
     std::sort(together.begin(), together.end(), [](const Member& a, const Member& b) { return a.node < b.node; });
-    // Later than any life that takes part, than what they hold, and than what this node made before.
-    const std::uint64_t since = newest_life > kEpochMs ? (newest_life - kEpochMs) / 1000 : 0;
-    const std::uint64_t by_now = since + static_cast<std::uint64_t>((now_ - begun_) / 10000);
-    formed_second_ = std::max({since + 2, by_now, second_of(std::max(view_.number, floor_)) + 1, formed_second_ + 1});
+    // Later than any life that takes part, than what this node holds, and than what it made before. No further ahead of
+    // the time than it must be: another process of a name has to find itself later than what the one before it accepted.
+    std::uint64_t newest_life = life_;
+    for (const Member& m : together) newest_life = std::max(newest_life, m.life);
+    const auto since_2024 = [](std::uint64_t ms) { return ms > kEpochMs ? ms - kEpochMs : 0; };
+    const std::uint64_t by_now = since_2024(s_.life) + static_cast<std::uint64_t>((now_ - begun_) / 10);
+    formed_at_ = std::max({since_2024(newest_life) + 1, by_now, formed_at(std::max(view_.number, floor_)) + 1, formed_at_ + 1});
     Attempt a;
     a.forms = true;
-    a.number = a.ballot = formed_number(formed_second_, s_.node);
+    a.number = a.ballot = formed_number(formed_at_, s_.node);
     set_blob(a, members::encode(Change{0, a.number, wide(), {}, {}, together}));
     for (const Member& m : together) a.targets.push_back(m.node);
     a.since = a.sent = now_;
@@ -1065,21 +1102,21 @@
 
   void resume() {
     try {
-      const auto handle = unpack(s_.resumed);
-      const Fields f(handle.get(), 9);
+      const auto handle = unpack(s_.resumed, s_.resumed.size());
+      const Fields f(handle.get(), 10);
       std::string accepted, seen;
       f.get(0, life_), f.get(1, refuted_), f.get(2, nonce_), f.get(3, statement_id_), f.get(4, floor_), f.get(5, promised_);
-      f.get(6, accepted_), f.get(7, accepted), f.get(8, seen);
+      f.get(6, accepted_), f.get(7, accepted), f.get(8, seen), f.get(9, floor_hash_);
       nonce_ += 100000, statement_id_ += 1000;  // over what was said while this was written
-      const std::uint64_t floor = floor_, promised = promised_, accepted_ballot = accepted_;
+      const std::uint64_t floor = floor_, floor_hash = floor_hash_, promised = promised_, accepted_ballot = accepted_;
       if (!seen.empty()) install_bytes(seen);
-      floor_ = std::max(floor_, floor), promised_ = promised, accepted_ = accepted_ballot;
-      // It may have offered one before.
-      offered_first_ = true;
+      floor_ = floor, floor_hash_ = floor_hash, promised_ = promised, accepted_ = accepted_ballot;
+      offered_first_ = true;  // it may have
+      accepted_last_ = now_;
       if (accepted_ != 0) accepted_hash_ = hash_of(accepted), accepted_at_ = now_, keep_blob(accepted_hash_, accepted);
       out_.notes.clear();
     } catch (const std::exception&) {  // half a file: another life then
-      life_ = s_.life, refuted_ = 0, view_ = {}, floor_ = promised_ = accepted_ = 0;
+      life_ = s_.life, refuted_ = 0, view_ = {}, floor_ = floor_hash_ = promised_ = accepted_ = 0;
     }
   }
 
@@ -1119,9 +1156,9 @@
   Viewing viewing_;
   std::deque<std::pair<std::uint64_t, std::string>> blobs_;
   std::deque<std::pair<std::uint64_t, std::uint64_t>> history_;  // base and hash of what was installed
-  std::uint64_t promised_ = 0, accepted_ = 0, accepted_hash_ = 0, round_ = 0, floor_ = 0, formed_second_ = 0;
+  std::uint64_t promised_ = 0, accepted_ = 0, accepted_hash_ = 0, round_ = 0, floor_ = 0, floor_hash_ = 0, formed_at_ = 0;
   Tenths newest_at_ = INT64_MIN / 2;  // as of then no newer view had been agreed on
-  Tenths installed_at_ = INT64_MIN / 2, accepted_at_ = 0, refuted_at_ = INT64_MIN / 2, rolled_at_ = INT64_MIN / 2;
+  Tenths installed_at_ = INT64_MIN / 2, accepted_at_ = 0, accepted_last_ = 0, refuted_at_ = INT64_MIN / 2, rolled_at_ = INT64_MIN / 2;
   Tenths said_at_ = INT64_MIN / 2, due_since_ = INT64_MAX, backoff_until_ = 0, sane_from_ = 0, sought_at_ = INT64_MIN / 2;
   Tenths unsettled_at_ = INT64_MIN / 2, gathered_at_ = 0, gather_since_ = INT64_MAX, back_from_ = 0, back_wait_ = 0, joined_at_ = 0;
   std::size_t gathered_ = 0;
@@ -1139,6 +1176,7 @@
 double Engine::part(Tenths now) const { return impl_->part(now); }
 bool Engine::accuses_any() const { return impl_->accuses_any(); }
 std::uint64_t Engine::agreeing() const { return impl_->agreeing(); }
+std::uint64_t Engine::stands_by() const { return impl_->stands_by(); }
 std::string Engine::snapshot() const { return impl_->snapshot(); }
 
 }  // namespace troutstage::members
--- a/src/members/engine.h
+++ b/src/members/engine.h
@@ -54,7 +54,11 @@
 struct Propose {
   std::vector<Index> left;
 };
-using MemberEvent = std::variant<Came, Pulse, Leave, NewRoster, Propose>;
+// As if these had greeted it as lost: the same. It does so only where it has lost the majority itself.
+struct FormAnew {
+  std::vector<Member> together;
+};
+using MemberEvent = std::variant<Came, Pulse, Leave, NewRoster, Propose, FormAnew>;
 
 struct Send {
   Index to = kNone;
@@ -106,6 +110,7 @@
   double part(Tenths now) const;
   bool accuses_any() const;
   std::uint64_t agreeing() const;  // a hash of all that its next words on a change of the view depend on
+  std::uint64_t stands_by() const;  // the newest view that it holds or has accepted; 0: none
   std::string snapshot() const;  // for a process that goes on as the same member
 
  private:
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-std::uint64_t formed_number(std::uint64_t second, Index by) {
-  return second << 23 | static_cast<std::uint64_t>(by) << 12;
+std::uint64_t formed_number(std::uint64_t at_ms, Index by) {
+  return at_ms << 23 | static_cast<std::uint64_t>(by) << 12;
 }
 bool has_next_number(std::uint64_t number) { return (number & kCounter) != kCounter; }
 
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -21,11 +21,12 @@
 inline constexpr std::size_t kMostName = 24;
 inline constexpr std::size_t kMostNodes = 2000;
 
-// A number tells who made it and when, so that no two views that are formed anew have the same: seconds since
-// 2024, the node that formed it, and the changes since then.
-std::uint64_t formed_number(std::uint64_t second, Index by);
+// A number tells who made it and when, so that no two views that are formed anew have the same: milliseconds since
+// 2024 (till 2093), the node that formed it, and the changes since then.
+std::uint64_t formed_number(std::uint64_t at_ms, Index by);
 bool has_next_number(std::uint64_t number);
-inline std::uint64_t second_of(std::uint64_t number) { return number >> 23; }
+inline std::uint64_t formed_at(std::uint64_t number) { return number >> 23; }
+inline Index formed_by(std::uint64_t number) { return static_cast<Index>(number >> 12 & 0x7ff); }
 
 struct View {
   std::uint64_t number = 0;  // 0: none yet
--- a/src/members/wire.h
+++ b/src/members/wire.h
@@ -19,14 +19,15 @@
 
 inline constexpr std::size_t kMostDatagram = 256;
 inline constexpr std::size_t kMostPiece = 150;  // of a change, beside the rest of its datagram
-inline constexpr std::uint32_t kVersion = 1;
+inline constexpr std::uint32_t kVersion = 2;
 inline constexpr std::uint32_t kNoAge = 65535;
 
-// Limits on what is read: no datagram makes its reader take much memory.
-inline msgpack::object_handle unpack(std::string_view bytes) {
+// Limits on what is read: no datagram makes its reader take much memory. `most` is of one text, in bytes: what one process
+// leaves for the next holds whole views.
+inline msgpack::object_handle unpack(std::string_view bytes, std::size_t most = 64 * 1024) {
   std::size_t end = 0;
   auto handle = msgpack::unpack(bytes.data(), bytes.size(), end, nullptr, nullptr,
-                                msgpack::unpack_limit(4096, 64, 64 * 1024, 64 * 1024, 64, 4));
+                                msgpack::unpack_limit(4096, 64, most, most, 64, 4));
   if (end != bytes.size()) throw std::runtime_error("bytes after its end");
   return handle;
 }
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -80,7 +80,7 @@
   CHECK(dropped(1, "") == Dropped::unreadable);
   CHECK(dropped(1, probe_from(1, 50).substr(0, 12)) == Dropped::unreadable);
   std::string other = probe_from(1, 50);
-  other[1] = 2;  // the version
+  other[1] = 9;  // the version
   CHECK(dropped(1, other) == Dropped::version);
   CHECK(e.view().number == 0);
 }
@@ -147,6 +147,15 @@
   CHECK(four.states > 1000);
 }
 
+TEST_CASE("views formed anew follow one another, whoever forms them and whoever has lost the majority", "[members]") {
+  const auto one_loses = lab::explore({3, 6, 2, 1, true, 1000000, 1, false});
+  CHECK(one_loses.whole);
+  CHECK(one_loses.formed > 1000);
+  const auto all_lost = lab::explore({3, 6, 0, 1, true, 1000000, 2, true});
+  CHECK(all_lost.whole);
+  CHECK(all_lost.formed > 50000);
+}
+
 TEST_CASE("a crash is agreed on within three seconds, a lost zone is one change", "[members]") {
   const auto crash = lab::run(scenario(64, 10, {{Fault::Kind::crash, 1, 0, {17}, 0}}));
   REQUIRE(crash.removal_s.size() == 1);
