--- a/src/lab/command.cpp
+++ b/src/lab/command.cpp
@@ -130,7 +130,7 @@
   int code = 0;
   for (const Policy policy : policies) {
     const auto began = std::chrono::steady_clock::now();
-    std::vector<double> removal, first;
+    std::vector<double> together, removal, first;
     Outcome sum;
     std::uint64_t done = 0, broken = 0;
     double bytes_s = 0, seen = 0;
@@ -145,6 +145,7 @@
           plot(given["report"].as<std::string>(), o);
         }
         ++done;
+        together.push_back(o.together_s);
         removal.insert(removal.end(), o.removal_s.begin(), o.removal_s.end());
         first.insert(first.end(), o.first_removal_s.begin(), o.first_removal_s.end());
         sum.steps += o.steps, sum.views += o.views, sum.suspicions += o.suspicions, sum.refuted += o.refuted;
@@ -166,6 +167,7 @@
     const double runs = static_cast<double>(std::max<std::uint64_t>(1, done));
     const Json one{{"policy", called}, {"day", told ? "scenario" : name}, {"nodes", told ? told->nodes : nodes}, {"loss", loss},
                    {"seeds", done}, {"broken", broken}, {"steps", sum.steps},
+                   {"together_s", {{"p50", quantile(together, 0.5)}, {"p99", quantile(together, 0.99)}}},
                    {"removal_s", {{"count", removal.size()}, {"p50", quantile(removal, 0.5)}, {"p99", quantile(removal, 0.99)}, {"first_p50", quantile(first, 0.5)}}},
                    {"false_removals", sum.false_removals}, {"suspicions", sum.suspicions}, {"refuted", sum.refuted}, {"views_a_run", static_cast<double>(sum.views) / runs},
                    {"bytes_a_node_a_second", bytes_s / runs}, {"datagrams_a_node_a_second", seen / runs}, {"trace", fmt::format("{:016x}", sum.trace)},
--- a/src/lab/members_world.cpp
+++ b/src/lab/members_world.cpp
@@ -80,6 +80,7 @@
     const Tenths patience = kStart + 60 * kSecond;
     while (!due_.empty() && due_.top().at < patience && !(due_.top().at > kStart + 2 * kSecond && one_view())) next();
     if (sc_.policy == Policy::agreed && !one_view()) broken("never one view at the start");
+    out_.together_s = static_cast<double>(now_ - kStart) / kSecond;
     zero_ = now_;
     counting_ = true;
     out_.datagrams = out_.bytes = out_.views = out_.suspicions = out_.refuted = 0;
--- a/src/lab/members_world.h
+++ b/src/lab/members_world.h
@@ -55,6 +55,7 @@
   std::uint64_t steps = 0, datagrams = 0, bytes = 0, views = 0, suspicions = 0, refuted = 0, false_removals = 0;
   std::uint64_t trace = 0;       // a hash over all steps: the same for the same seed
   double node_seconds = 0;
+  double together_s = 0;          // from the start of all to one view of all
   std::vector<double> removal_s;  // crash to agreed removal at the last survivor, for each node that crashed
   std::vector<double> first_removal_s;
   bool one_view = false;  // at the end, of all that live
--- a/src/members/engine.cpp
+++ b/src/members/engine.cpp
@@ -119,6 +119,7 @@
     std::uint32_t cookie = 0;  // it gave
     Tenths cookie_at = INT64_MIN / 2;
     Tenths lost_at = INT64_MIN / 2;  // it greeted as one that has lost the majority, both ways open
+    Tenths lost_said = INT64_MIN / 2;  // it answered as such a one
     Tenths led_at = INT64_MIN / 2;   // it was told to be the lowest of these
     std::string name, zone;
     bool gone = false, gone_left = false;
@@ -360,6 +361,7 @@
     if (!w.lost && h.number != 0 && h.number < view_.number && static_cast<Tenths>(h.age) * 8 < s_.sharing.lease && majority_lost()) begin_anew();
     if (w.lost && w.lead < nodes_.size()) nodes_[w.lead].led_at = now_;
     if (w.lost && w.lead == h.from) p.led_at = now_;
+    p.lost_said = w.lost ? now_ : INT64_MIN / 2;
   }
   void heard(const Header& h, const Statement& said) {
     if (h.number != view_.number || !view_.has(h.from, h.life) || said.node >= nodes_.size()) return;
@@ -1046,9 +1048,12 @@
     const std::uint64_t words[] = {secret_, n, static_cast<std::uint64_t>(now_ / kCookie - back)};
     return static_cast<std::uint32_t>(XXH64(words, sizeof words, 1)) | 1;
   }
+  // The lowest of those that have lost the majority, by their own word: a greeting, or an answer to one. Named to all that
+  // greet this node, it is known everywhere after a few rounds. By greetings alone only those heard of the lowest that it
+  // happened to greet itself, and a thousand nodes took half a minute to come together, 1,200 took more than one.
   Index lead() const {
     for (Index n = 0; n < s_.roster; ++n)
-      if (is_me(n) || now_ - nodes_[n].lost_at < kRecent) return n;
+      if (is_me(n) || now_ - std::max(nodes_[n].lost_at, nodes_[n].lost_said) < kRecent) return n;
     return s_.node;
   }
   void seek() {
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -185,6 +185,13 @@
   REQUIRE_THROWS_AS(lab::run(sc), lab::Broken);
 }
 
+TEST_CASE("two hundred nodes that start at once are one view in seconds", "[members]") {
+  // Who has the lowest number was heard of only by chance: 8 s at 200 nodes, 36 s at 1,000, and never at 1,200.
+  const auto start = lab::run(scenario(200, 2, {}));
+  CHECK(start.together_s < 5);
+  CHECK(start.views == 0);
+}
+
 TEST_CASE("seven in ten restarted at once come together again by themselves", "[members]") {
   const auto o = lab::run(scenario(10, 20, {{Fault::Kind::crash, 2, 8, upto(3, 10), 0}}));
   CHECK(o.one_view);
