--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -43,6 +43,15 @@
   CHECK(c.handed_off == ended);
 }
 
+// A node that knows of this backend alone sends it nothing once discovery has told what it tells.
+void check_left_alone(const Server& backend, const Server& discovery, Flag& told) {
+  Node node(config(list(1, true, {backend.address()}), discovery.address()));
+  node.start();
+  told.await();
+  CHECK(Visitor(node).ask(request("view")).status == 503);
+  CHECK(backend.calls() == 0);
+}
+
 }  // namespace
 
 TEST_CASE("each way in which a hand-off ends is told from the others", "[net]") {
@@ -702,11 +711,7 @@
     if (call.number == 1) told.set();
     return no_news(call);
   });
-  Node node(config(list(1, true, {backend.address()}), discovery.address()));
-  node.start();
-  told.await();
-  CHECK(Visitor(node).ask(request("view")).status == 503);
-  CHECK(backend.calls() == 0);
+  check_left_alone(backend, discovery, told);
 }
 
 TEST_CASE("threads are used again, and there are no more than allowed", "[net]") {
@@ -826,11 +831,7 @@
     if (call.number == 2) told.set();
     return no_news(call);
   });
-  Node node(config(list(1, true, {backend.address()}), discovery.address()));
-  node.start();
-  told.await();
-  CHECK(Visitor(node).ask(request("view")).status == 503);
-  CHECK(backend.calls() == 0);
+  check_left_alone(backend, discovery, told);
   const auto asked = calls.read();
   CHECK(asked[1] == "GET /discovery/hosts HTTP/1.1");
   CHECK(asked[2] == "GET /discovery/hosts?index=2");
