No attempt begins once its client has gone or has its answer, also where attempts can't be cancelled

Cause: Client::prepare's Begins.may, the one place that is asked before an attempt's first byte, looked at the backend alone. That a client has gone reaches an attempt only as a recall, which the decisions give only where bounds.cancel allows it; an attempt whose connection came up late was then sent. A second copy was sent after the first had answered in the same way. Ruled out: the monitor of clients' sockets (it had told, client_gone was counted), accept queue and lobby (the attempt had been handed off before the close). Change: Begins.may also asks whether the answer is still open and whether the client's socket has been closed; the latter covers the moments in which the monitor's thread has not run. The monitor also watches clients whose body flows. Tests, without the mend: 'late.requests() == 0' is 1 == 0 (twice), 'backend.calls() == 0' is 16 == 0.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -45,6 +45,7 @@
   bool flows = false;  // the same
   std::optional<Transactions::Open> open;
   core::Ticket ticket;
+  int client_socket = -1;  // open until the answer is final; -1: its end can't be told from one made here
   // By number. The client's thread changes it, and while that is busy whoever has the balancer's lock.
   std::deque<std::shared_ptr<Exchange>> exchanges;
 };
@@ -93,7 +94,10 @@
       return refuse(bad);
     }
     work->flows = !r.rest.whole();
-    lasts_ = !reading.was_ended() && has_place_ && !work->flows;
+    // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
+    // request that crossed it was then lost.
+    may_tell_leaving_ = !reading.was_ended();
+    lasts_ = may_tell_leaving_ && has_place_ && !work->flows;
   }
   // A connection carries one request at a time: what is sent ahead of an answer is no usual client's.
   if (!work->flows && in_.holds_bytes()) return refuse({400, Bad::ahead});
@@ -202,11 +206,10 @@
   const OpenOne open(node_.counters_.open);
   const core::Ticket& ticket = work->ticket;
   try {
+    if (may_tell_leaving_) work->client_socket = fd_.get();
     work->ticket = node_.balancer_.take(demand);
-    // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
-    // request that crossed it was then lost.
     std::optional<Vigil::Over> vigil;
-    if (lasts_ && !node_.balancer_.answered(ticket)) vigil.emplace(node_.vigil_, fd_.get(), ticket);
+    if (may_tell_leaving_ && !node_.balancer_.answered(ticket)) vigil.emplace(node_.vigil_, fd_.get(), ticket);
     for (;;) {
       const core::Step step = node_.balancer_.pick(ticket);
       if (step.what == core::Next::hand_off) hand_off(work, step);
@@ -324,6 +327,16 @@
                           {"over", since(Moment::clock::now())}, {"ended", kEndedNames[static_cast<std::size_t>(ended)]}}, log::Level::debug);
 }
 
+// Whether somebody still waits for the answer. Asked right before an attempt's first byte: where attempts can't be
+// cancelled, one whose connection was slow to come up was sent long after its client had gone or had its answer. The
+// monitor of clients' sockets has a thread of its own, which may not have run yet.
+bool Client::is_still_wanted(Node& node, const Work& work) {
+  if (node.balancer_.answered(work.ticket)) return false;
+  if (work.client_socket < 0 || !peer_has_closed(work.client_socket)) return true;
+  node.balancer_.client_gone(work.ticket);
+  return false;
+}
+
 // What a hand-off does; nothing where it can't be.
 std::function<void()> Client::prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step) {
   ++node.counters_.handed_off;
@@ -335,7 +348,9 @@
     if (!target) return {};
     Begins begins;
     if (step.begin_by != INT64_MAX) begins.by = node.clock_.at(step.begin_by);
-    begins.may = [&node, backend = step.backend, life = target->life] { return node.directory_.stays(backend, life); };
+    begins.may = [&node, work, backend = step.backend, life = target->life] {
+      return node.directory_.stays(backend, life) && is_still_wanted(node, *work);
+    };
     return [=, &node, number = step.number, until = node.clock_.at(step.until)] {
       const Moment begun = Moment::clock::now();
       Ended ended = Ended::cut_after_sent;  // where it broke is not known then, so it may have run
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -34,6 +34,7 @@
   static void recall(const Work& work, int number);
   static void over(Node& node, const Work& work, int number, Ended ended);
   static void trace(const Work& work, int number, const Target& target, Moment begun, const Exchange& exchange, Ended ended);
+  static bool is_still_wanted(Node& node, const Work& work);
   static std::function<void()> prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step);
   void hand_off(const std::shared_ptr<Work>& work, const core::Step& step);
   bool write(std::string head, std::string_view body);
@@ -47,6 +48,7 @@
   std::size_t answered_ = 0;  // requests
   bool rejected_ = false;     // its last request was
   bool lasts_ = true;         // false: this request is the last one
+  bool may_tell_leaving_ = true;  // an end of its sending is the client's own
   bool resets_ = false;       // its last answer broke where only a reset shows it
   const bool has_place_;      // else its one request is turned away
   std::size_t thrown_away_ = 0;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -168,6 +168,11 @@
   return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool peer_has_closed(int fd) {
+  pollfd p{fd, POLLRDHUP, 0};
+  return ::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 int port_of(int fd) {
   sockaddr_in a{};
   socklen_t size = sizeof a;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -51,6 +51,7 @@
 bool holds_bytes(int fd);        // something has come that nobody has read yet
 std::size_t throw_away(int fd);  // some of that, without looking at it; 0: there was none
 bool still_quiet(int fd);        // open, and nothing has come: a connection that may be used again
+bool peer_has_closed(int fd);    // or reset it; also where what it sent before is unread still
 int port_of(int fd);
 
 }  // namespace troutstage::net
