Failed calls to discovery are repeated within 1.5 s; held requests end before the kill; closes keep answers

Cause: WatchPace left calls that fail to the decisions, whose gaps double up to 8 x ask-within / 20 x 1.5 (6 s at 10 s) from call to call. Ruled out: late reading, and the silent watches themselves (begun anew within 4 s by test). Change: every failed call is repeated after 0.25 to 1.5 s by the pace itself. The decisions get Stopping{answer_by}. Read: a whole list whose 'servers' is missing or no list marked all backends as gone before it was refused, so that every attempt was withdrawn. Read: where no thread was to be had the answer was followed by a close over the unread request, which resets it. Read: a passed listener without TCP_NODELAY gave connections that hold small writes back.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -83,6 +83,11 @@
   ticket->changed.notify_one();
 }
 
+void Balancer::answer_all_by(Tenths when) {
+  std::unique_lock held(lock_);
+  tell(held, Stopping{when});
+}
+
 bool Balancer::answered(const Ticket& ticket) {
   std::lock_guard held(lock_);
   return ticket->final;
--- a/src/core/watch_pace.h
+++ b/src/core/watch_pace.h
@@ -27,14 +27,13 @@
     moved,        // it was ended from here: the next one goes to another place
   };
   struct Next {
-    bool asks_again = true;  // false: nothing is urgent, the decisions say when
-    Tenths pause = 0;        // before that call
-    Tenths wait = 0;         // what it asks discovery to wait for news
-    Tenths patience = 0;     // for its answer, after that wait
+    Tenths pause = 0;     // before that call
+    Tenths wait = 0;      // what it asks discovery to wait for news
+    Tenths patience = 0;  // for its answer, after that wait
   };
 
   explicit WatchPace(std::uint64_t seed) : chance_(seed) {}
-  Next first() { return {true, 0, wait(), kFirstPatience}; }
+  Next first() { return {0, wait(), kFirstPatience}; }
   Next after(Tenths now, Was was);
   bool goes_on() const { return goes_on_; }  // the last call was answered
 
@@ -47,6 +46,9 @@
   static constexpr Tenths kPatience = 5000, kFirstPatience = 25000;
   static constexpr Tenths kUrgent = 60000;  // after a silence or a move, what is missed counts as told within this
   static constexpr Tenths kPause = 2000;    // meanwhile between calls, about
+  // Else between calls that fail, about: at first and then. A change counts as told 6 s after discovery could be reached, so
+  // several calls have to fit in there.
+  static constexpr Tenths kFirstRetry = 5000, kRetry = 10000;
 
   Tenths wait() { return drawn(kWait, 0.25); }
   Tenths drawn(Tenths about, double by) {
@@ -55,6 +57,7 @@
 
   std::knuth_b chance_;
   bool goes_on_ = false;
+  bool failed_ = false;  // the last call
   Tenths patience_ = kPatience;  // of calls on a watch that goes on
   Tenths urgent_until_ = INT64_MIN;
 };
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -253,7 +253,7 @@
     v.kept = v.held = true;
     v.workload = a.workload;
     v.arrived = now_;
-    v.valid_until = a.valid_until;
+    v.valid_until = std::min(a.valid_until, answer_by_);
     v.repeat = a.client_repeat;
     v.most = max_hand_offs_;
     v.flows = a.flows;
@@ -341,6 +341,16 @@
     for (Backend& b : backends_) carry(b.by_workload, std::vector<Health>(workloads_.size()));
   }
 
+  void on(const Stopping& e) {
+    answer_by_ = e.answer_by;
+    for (Index i = 0; i < invocations_.size(); ++i) {
+      Invocation& v = invocations_[i];
+      if (!v.held || v.streaming || v.valid_until <= answer_by_) continue;
+      v.valid_until = answer_by_;
+      at(v.valid_until - margin_, i);
+    }
+  }
+
   // Draws no chance: being asked changes no decision.
   void on(const Census&) {
     Tenths listed = 0;
@@ -942,6 +952,7 @@
   std::vector<Workload> workloads_;  // by index; some may be those of invocations under way alone
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
+  Tenths answer_by_ = INT64_MAX;  // once the node stops
   std::uint64_t order_ = 0;
   std::vector<double> usual_work_;  // by workload
   std::vector<double> usual_;       // by workload: how long a success usually takes
--- a/src/decide.h
+++ b/src/decide.h
@@ -132,11 +132,15 @@
   std::shared_ptr<const Settings> settings;  // seed, zone, tick and the fall window stay as they were
   std::vector<Index> like;  // by workload: whose past it goes on from, its own if it stays; kNone: it has none
 };
+// The node is told to end: nothing that it holds, or takes from now on, is left unanswered then.
+struct Stopping {
+  Tenths answer_by = 0;
+};
 struct Census {};  // asks how many backends are listed, and how many of them are avoided now
 
 using Event =
     std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded, NewSettings,
-                 Census>;
+                 Stopping, Census>;
 
 enum class Do {
   hand_off,   // invocation, backend, at: when to drop it
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -128,6 +128,7 @@
 void Client::turn_away() {
   ++node_.counters_.turned_off_full;
   write_all(fd_.get(), response_head(503, kText, 0, false), Moment::clock::now());
+  ::shutdown(fd_.get(), SHUT_WR);
 }
 
 bool Client::throw_away() {
@@ -198,7 +199,6 @@
       return mine->request.rest.next(in_, Moment::clock::now() + kPieceWithin, piece);
     };
   }
-  demand.valid_until = std::min(demand.valid_until, node_.answer_by_.load());
   demand.hint = request.hint_micros / 100;
   demand.client_repeat = request.client_repeat;
   const bool wants_more = request.keep_alive && lasts_;
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -20,13 +20,16 @@
     Listing list;
     list.version = json.at("version").get<std::int64_t>();
     list.full = json.at("full").get<bool>();
+    // Checked before anything is changed: a list that can't be read leaves the one in force whole.
+    const nlohmann::json& servers = json.at("servers");
+    if (!servers.is_array()) throw Malformed("list: servers is no list");
     std::lock_guard held(lock_);
     // One that was listed again after its release keeps its number: it has been told under that.
     for (const Index n : released)
       if (numbers_.in_use(n) && !places_[n].listed) numbers_.release(n);
     if (list.full)
       for (Place& place : places_) place.listed = false, place.last.availability = Availability::deleted;
-    for (const auto& one : json.at("servers")) {
+    for (const auto& one : servers) {
       // One entry that can't be read must not hide the others, nor that its own backend may be leaving: it is an entry
       // since something changed there, and a list of changes says it once.
       try {
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -55,6 +55,11 @@
 
 void Lobby::enter(std::shared_ptr<Client> client, Wait wait) {
   std::lock_guard held(lock_);
+  admit(std::move(client), wait);
+}
+
+// With the lock held.
+void Lobby::admit(std::shared_ptr<Client> client, Wait wait) {
   // Hundreds that connect and say nothing, or ask once and stay, must not take the places of those that ask:
   // a client that may have only so many connections could open no other for as long as all of them were kept.
   if (++waiting_[static_cast<std::size_t>(wait)] > most_[static_cast<std::size_t>(wait)]) {
@@ -78,7 +83,10 @@
   ::epoll_ctl(poll_.get(), EPOLL_CTL_DEL, gone.client->fd(), nullptr);
   --waiting_[static_cast<std::size_t>(gone.wait)];
   // A request that has come is answered, whatever the connection was to leave for.
-  if (gone.wait != Wait::end && holds_bytes(gone.client->fd())) ready_(std::move(gone.client));
+  if (gone.wait == Wait::end || !holds_bytes(gone.client->fd()) || ready_(gone.client)) return;
+  // Closed now, over a request that nobody has read, the connection would be reset and its answer lost.
+  gone.client->turn_away();
+  admit(std::move(gone.client), Wait::end);
 }
 
 void Lobby::look(std::uint64_t id) {
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -22,9 +22,10 @@
     next,   // for the next one
     end     // it was told its last answer; what still comes is thrown away until it closes
   };
-  using Ready = std::function<void(std::shared_ptr<Client>)>;
+  using Ready = std::function<bool(std::shared_ptr<Client>)>;  // false: nobody can work for it
   using Most = std::array<std::size_t, 4>;
-  // `ready` is called for each connection on which something has come, on the lobby's thread. So many may
+  // `ready` is called for each connection on which something has come, on the lobby's thread; one that it has nobody
+  // for is turned away here. So many may
   // wait for each thing; beyond that the one that has waited for it the longest goes.
   Lobby(Ready ready, const Most& most);
 
@@ -45,6 +46,7 @@
   using All = std::map<std::uint64_t, Waiting>;  // the oldest first
   // Takes one out, and gives it to whom it goes: what has come on it is still looked at.
   void leave(All::iterator at);
+  void admit(std::shared_ptr<Client> client, Wait wait);
   void look(std::uint64_t id);
   void close_old();
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -95,7 +95,7 @@
       bytes_(config_.memory_mb * 1024 * 1024 / 4, sibling_ ? sibling_->ledger() : alone_),
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
       listener_(listener_of(config_)), reserve_(reserve(config_)),
-      lobby_([this](std::shared_ptr<Client> client) { work_for(std::move(client)); }, most_waiting(config_)),
+      lobby_([this](const std::shared_ptr<Client>& client) { return work_for(client); }, most_waiting(config_)),
       workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(7) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
@@ -151,8 +151,8 @@
     // Once this node accepts no more, those that the system has taken for it already are still served.
     const bool last = leaving_;
     if (!last && wait_readable(listener_.get(), Moment::clock::now() + kLook) != Io::done) continue;
-    const int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd < 0) {
+    Fd fd = accept_from(listener_.get());
+    if (!fd) {
       if (last) break;
       if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
         ++counters_.accepts_failed;
@@ -163,7 +163,7 @@
       continue;
     }
     ++counters_.connections_taken;
-    take(Fd(fd));
+    take(std::move(fd));
   }
   std::lock_guard held(lock_);
   listener_.reset();
@@ -180,11 +180,10 @@
 }
 
 // Called by the lobby: it must wait for nothing.
-void Node::work_for(std::shared_ptr<Client> client) {
-  const bool started = clients_.run([this, client]() mutable {
+bool Node::work_for(const std::shared_ptr<Client>& client) {
+  return clients_.run([this, client]() mutable {
     if (const auto wait = client->serve()) lobby_.enter(std::move(client), *wait);
   });
-  if (!started) client->turn_away();
 }
 
 // A request that waits unread in the accept queue gets no answer in its time, and its client's patience can't
@@ -418,7 +417,7 @@
   log::info("stopping");
   const Moment told = Moment::clock::now();
   const bool has_end = how.answering.count() >= 0;
-  if (has_end) answer_by_ = clock_.now() + how.answering.count() * 10;
+  if (has_end) balancer_.answer_all_by(clock_.now() + how.answering.count() * 10);
   hands_over_ = sibling_ && sibling_->other_lives();
   if (hands_over_) log::info("a successor takes what comes");
   // A successor is the same member; else the others are told at once, and not left to find out.
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -96,7 +96,7 @@
   void go_by(std::shared_ptr<Settings> now);
   void accept_all();
   void take(Fd fd);
-  void work_for(std::shared_ptr<Client> client);
+  bool work_for(const std::shared_ptr<Client>& client);  // false: no thread is to be had
   bool find_place();            // false: there is none
   bool end_slow_ones();         // false: there is none
   bool short_of_connections();  // while it stops
@@ -136,7 +136,6 @@
   std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
   std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
   Moment drained_since_;              // guarded by lock_
-  std::atomic<Tenths> answer_by_{INT64_MAX};
   std::atomic<std::size_t> came_back_{0};  // clients' connections that were used more than once
   const std::size_t reserve_;
   Lobby lobby_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -59,10 +59,25 @@
   return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-Fd new_socket() {
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+namespace {
+
+// What the system held back of an answer is lost where the connection is reset right after it.
+void send_at_once(const Fd& fd) {
   const int on = 1;
   if (fd) ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Fd new_socket() {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  send_at_once(fd);
+  return fd;
+}
+
+Fd accept_from(int listener) {
+  Fd fd(::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
+  send_at_once(fd);
   return fd;
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -38,6 +38,7 @@
 Fd listen_on(const sockaddr_in& address);  // throws std::system_error
 // A listener that this process was started with. Throws Malformed where it is none, or listens elsewhere.
 Fd inherited_listener(int fd, const sockaddr_in& address);
+Fd accept_from(int listener);  // with no delay of small writes, whoever opened the listener; empty: errno tells why
 Fd new_socket();  // with no delay of small writes; empty where there is none to be had
 
 enum class Io { done, ended, broken, late };  // ended: the other side closes
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -24,15 +24,7 @@
 }  // namespace
 
 void Watch::run() {
-  while (balancer_.await_watch()) {
-    follow();
-    {
-      std::lock_guard held(lock_);
-      if (stopped_) return;
-    }
-    // The decisions ask again in their own time, with growing waits.
-    balancer_.told(ListForm::failed, {});
-  }
+  if (balancer_.await_watch()) follow();
 }
 
 // A watch goes on only while the next call comes within 200 ms of the last answer: the connection is kept and
@@ -61,7 +53,6 @@
     if (!shutter->is_shut() && !ended_between) ++counters_.watches_failed;
     if (was == Was::silent) ++counters_.watches_silent;
     next_ = pace_.after(steady(Moment::clock::now()), was);
-    if (!next_.asks_again && !shutter->is_shut()) return;
   }
 }
 
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -28,7 +28,7 @@
   static constexpr std::int64_t kWholeList = -1;  // no version is known
 
   using Was = core::WatchPace::Was;
-  void follow();  // until a call fails and the pace leaves the next to the decisions
+  void follow();  // until stop()
   void pause(std::chrono::microseconds time);  // unless it is over, or goes on at another place
   Was calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter);
 
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -1,5 +1,7 @@
 // Rare orders of events at a node's connections, each made to happen every time. docs/races.md lists them.
-#include "net/exchange.h"
+#include <netinet/tcp.h>
+
+#include "net/client.h"
 #include "stand_in.h"
 
 using namespace stand_in;
@@ -78,3 +80,74 @@
   there.reset();
   CHECK(peer_has_closed(here.get()));
 }
+
+TEST_CASE("a stopping node answers what it already held before it would be killed", "[races]") {
+  Flag reached;
+  Server silent([&](const Server::Call& call) { return reached.set(), no_news(call); });
+  Fleet fleet({silent.address()});
+  Visitor visitor(fleet.node);
+  visitor.send(request("order", "x", 15000));
+  reached.await();
+  const Moment before_it_is_killed = soon(5000);
+  std::thread stops([&] { fleet.node.stop({{}, {}, milliseconds(300)}); });
+  Response response;
+  CHECK(visitor.receive(response) == Got::whole);
+  CHECK(response.status == 502);
+  CHECK(Moment::clock::now() < before_it_is_killed);
+  stops.join();
+}
+
+TEST_CASE("a list that can't be read leaves the one in force whole", "[races]") {
+  const std::string broken = GENERATE(R"({"version":2,"full":true})", R"({"version":2,"full":true,"servers":7})",
+                                      R"({"version":2,"full":true,"servers":{"s-0":{}}})", R"({"version":2,"full":true,"servers":null})",
+                                      R"({"version":2,"full":true,"servers":[)");
+  Names names;
+  Directory directory(names, 0);
+  const Listing before = directory.read(list(1, true, {"127.0.0.1:7"}));
+  REQUIRE(before.entries.size() == 1);
+  const Index backend = before.entries[0].backend;
+  const auto target = directory.find(backend);
+  REQUIRE(target);
+  CHECK_THROWS_AS(directory.read(broken), Malformed);
+  CHECK(directory.stays(backend, target->life));
+}
+
+TEST_CASE("a client for whom no thread is to be had gets its answer, not a reset", "[races]") {
+  // Its request was still unread when its connection was closed, and the reset may overtake the answer.
+  Server backend(always(ok(""))), discovery(no_news);
+  Node node(config(list(1, true, {backend.address()}), discovery.address()));  // not started: nobody else accepts
+  const Fd listener = listen_on(parse_address("127.0.0.1:0"));
+  const Fd peer = new_socket();
+  REQUIRE(connect_to(peer.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))), soon()) == Io::done);
+  REQUIRE(wait_readable(listener.get(), soon()) == Io::done);
+  Fd accepted = accept_from(listener.get());
+  REQUIRE(accepted);
+  REQUIRE(write_all(peer.get(), request("view"), soon()) == Io::done);
+  REQUIRE(wait_readable(accepted.get(), soon()) == Io::done);
+  Lobby lobby([](const std::shared_ptr<Client>&) { return false; }, {8, 8, 8, 8});
+  lobby.enter(std::make_shared<Client>(node, std::move(accepted), false), Lobby::Wait::first);
+  std::thread runs([&] { lobby.run(); });
+  Reader in(peer.get());
+  Response response;
+  CHECK(read_response(in, soon(), response) == Got::whole);
+  CHECK(response.status == 503);
+  std::string more;
+  CHECK(read_some(peer.get(), more, soon()) == Io::ended);
+  lobby.stop();
+  runs.join();
+  lobby.close_idle(true);
+}
+
+TEST_CASE("small writes to a client are not held back, whoever opened the listener", "[races]") {
+  const Fd listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_in any = parse_address("127.0.0.1:0");
+  REQUIRE(::bind(listener.get(), reinterpret_cast<const sockaddr*>(&any), sizeof any) == 0);
+  REQUIRE(::listen(listener.get(), 4) == 0);
+  const Fd client = new_socket();
+  REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))), soon()) == Io::done);
+  const Fd accepted = accept_from(listener.get());
+  int at_once = 0;
+  socklen_t size = sizeof at_once;
+  REQUIRE(::getsockopt(accepted.get(), IPPROTO_TCP, TCP_NODELAY, &at_once, &size) == 0);
+  CHECK(at_once == 1);
+}
