--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -38,7 +38,8 @@
   Flag copied;
   Server first([&](const Server::Call&) { return copied.await(), ok("first"); });
   Server discovery(no_news);
-  Node node(read_config(without_cancel(list(1, true, {first.address(), late.address()}), discovery.address())));
+  Node node(
+      read_config(without_cancel(list(1, true, {first.address(), late.address()}), discovery.address())));
   node.start();
   Visitor visitor(node);
   visitor.send(request("view", "x", 30000));
@@ -98,9 +99,10 @@
 }
 
 TEST_CASE("a list that can't be read leaves the one in force whole", "[races]") {
-  const std::string broken = GENERATE(R"({"version":2,"full":true})", R"({"version":2,"full":true,"servers":7})",
-                                      R"({"version":2,"full":true,"servers":{"s-0":{}}})", R"({"version":2,"full":true,"servers":null})",
-                                      R"({"version":2,"full":true,"servers":[)");
+  const std::string broken =
+      GENERATE(R"({"version":2,"full":true})", R"({"version":2,"full":true,"servers":7})",
+               R"({"version":2,"full":true,"servers":{"s-0":{}}})",
+               R"({"version":2,"full":true,"servers":null})", R"({"version":2,"full":true,"servers":[)");
   Names names;
   Directory directory(names, 0);
   const Listing before = directory.read(list(1, true, {"127.0.0.1:7"}));
@@ -115,10 +117,12 @@
 TEST_CASE("a client for whom no thread is to be had gets its answer, not a reset", "[races]") {
   // Its request was still unread when its connection was closed, and the reset may overtake the answer.
   Server backend(always(ok(""))), discovery(no_news);
-  Node node(config(list(1, true, {backend.address()}), discovery.address()));  // not started: nobody else accepts
+  Node node(
+      config(list(1, true, {backend.address()}), discovery.address()));  // not started: nobody else accepts
   const Fd listener = listen_on(parse_address("127.0.0.1:0"));
   const Fd peer = new_socket();
-  REQUIRE(connect_to(peer.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))), soon()) == Io::done);
+  REQUIRE(connect_to(peer.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))),
+                     soon()) == Io::done);
   REQUIRE(wait_readable(listener.get(), soon()) == Io::done);
   Fd accepted = accept_from(listener.get());
   REQUIRE(accepted);
@@ -144,7 +148,8 @@
   REQUIRE(::bind(listener.get(), reinterpret_cast<const sockaddr*>(&any), sizeof any) == 0);
   REQUIRE(::listen(listener.get(), 4) == 0);
   const Fd client = new_socket();
-  REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))), soon()) == Io::done);
+  REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))),
+                     soon()) == Io::done);
   const Fd accepted = accept_from(listener.get());
   int at_once = 0;
   socklen_t size = sizeof at_once;
