--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -130,11 +130,6 @@
   tell(held, FleetList{form, std::move(entries)});
 }
 
-void Balancer::list_expires_in(Tenths span) {
-  std::unique_lock held(lock_);
-  tell(held, ListExpiry{span == INT64_MAX ? INT64_MAX : clock_.now() + span});
-}
-
 void Balancer::watch_now() {
   std::lock_guard held(lock_);
   watch_wanted_ = true;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -77,8 +77,6 @@
   void run_ticks();  // ticks whenever something comes due, until stop()
 
   void told(ListForm form, std::vector<ListEntry> entries);
-  // In such a time, unless a list comes before, the one in force may be outdated by what counts as told.
-  void list_expires_in(Tenths span);  // INT64_MAX: it does not
   void watch_now();    // as if the decisions had asked for it
   bool await_watch();  // blocks until the list is to be watched (again); false: stop() was called
   void stop();
--- a/src/core/watch_pace.h
+++ b/src/core/watch_pace.h
@@ -32,16 +32,12 @@
     Tenths patience = 0;  // for its answer, after that wait
   };
 
-  explicit WatchPace(std::uint64_t seed, Tenths started = 0) : chance_(seed), told_by_(started + kCountsAsTold) {}
+  explicit WatchPace(std::uint64_t seed) : chance_(seed) {}
   Next first() { return {0, wait(), kFirstPatience}; }
   Next after(Tenths now, Was was);
   bool goes_on() const { return goes_on_; }  // the last call was answered
-  // Before that moment the list in force can't be outdated by a change that counts as told. INT64_MAX: nothing says that
-  // discovery could be reached without having been heard.
-  Tenths list_expires_at() const { return refused_ ? told_by_ - kExpiryMargin : INT64_MAX; }
 
  private:
-  void expect_news_by(Tenths when);
   // A call on a watch that goes on is cheap for discovery, one that begins a watch is not. Short waits find a silent
   // watch early, which leaves a whole fleet time to begin anew where discovery takes only so many at once; drawn, since
   // every node's watch begins or is answered with news at the same moments.
@@ -49,8 +45,6 @@
   // Its answer comes at the end of that wait. The first call of a watch may have to stand in line before that.
   static constexpr Tenths kPatience = 5000, kFirstPatience = 25000;
   static constexpr Tenths kUrgent = 60000;  // after a silence or a move, what is missed counts as told within this
-  static constexpr Tenths kCountsAsTold = 60000, kCountsAsToldAfterMove = 40000;  // a change, where discovery can be reached
-  static constexpr Tenths kExpiryMargin = 3000;  // for attempts whose connections still come up
   static constexpr Tenths kPause = 2000;    // meanwhile between calls, about
   // Else between calls that fail, about: at first and then. A change counts as told 6 s after discovery could be reached, so
   // several calls have to fit in there.
@@ -66,8 +60,6 @@
   bool failed_ = false;  // the last call
   Tenths patience_ = kPatience;  // of calls on a watch that goes on
   Tenths urgent_until_ = INT64_MIN;
-  Tenths told_by_;        // what has not been heard yet counts as told then, where discovery can be reached
-  bool refused_ = false;  // a call was turned away since a list came, so that it could be reached
 };
 
 }  // namespace troutstage::core
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -195,7 +195,7 @@
 
   void on(const FleetList& list) {
     if (list.form == ListForm::failed) return retry_ask();
-    if (list.form != ListForm::cached) ask_gap_now_ = 0, list_expires_at_ = INT64_MAX;  // it answers again
+    if (list.form != ListForm::cached) ask_gap_now_ = 0;  // it answers again
     if (list.form != ListForm::delta)
       for (Backend& b : backends_) b.told_to_stop = true, b.listed = false;
     for (const ListEntry& e : list.entries) {
@@ -341,8 +341,6 @@
     for (Backend& b : backends_) carry(b.by_workload, std::vector<Health>(workloads_.size()));
   }
 
-  void on(const ListExpiry& e) { list_expires_at_ = e.at; }
-
   void on(const Stopping& e) {
     answer_by_ = e.answer_by;
     for (Index i = 0; i < invocations_.size(); ++i) {
@@ -422,7 +420,7 @@
   }
 
   // Rule 3: nothing goes to a backend that this node was told is draining or gone; the grace is not used.
-  bool may_go_to(const Backend& b) const { return !b.told_to_stop && now_ < list_expires_at_; }
+  bool may_go_to(const Backend& b) const { return !b.told_to_stop; }
 
   // Rule 4: all nodes together must not push over a cold backend. Each node sends it at most its own part:
   // what this node gets done on warm backends of that kind, times what a cold one can do, times the multiple.
@@ -955,7 +953,6 @@
 
   Tenths now_ = 0, armed_ = 0, ask_gap_now_ = 0;
   Tenths answer_by_ = INT64_MAX;  // once the node stops
-  Tenths list_expires_at_ = INT64_MAX;
   std::uint64_t order_ = 0;
   std::vector<double> usual_work_;  // by workload
   std::vector<double> usual_;       // by workload: how long a success usually takes
--- a/src/decide.h
+++ b/src/decide.h
@@ -132,10 +132,6 @@
   std::shared_ptr<const Settings> settings;  // seed, zone, tick and the fall window stay as they were
   std::vector<Index> like;  // by workload: whose past it goes on from, its own if it stays; kNone: it has none
 };
-// Nothing is sent from this moment on unless a list has come by then: a change may count as told without having come.
-struct ListExpiry {
-  Tenths at = INT64_MAX;
-};
 // The node is told to end: nothing that it holds, or takes from now on, is left unanswered then.
 struct Stopping {
   Tenths answer_by = 0;
@@ -144,7 +140,7 @@
 
 using Event =
     std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, ClientGone, TimerDue, ProbeEnded, NewSettings,
-                 ListExpiry, Stopping, Census>;
+                 Stopping, Census>;
 
 enum class Do {
   hand_off,   // invocation, backend, at: when to drop it
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 std::chrono::microseconds span(Tenths t) { return std::chrono::microseconds(t * 100); }
+Tenths steady(Moment when) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(when.time_since_epoch()).count() / 100;
+}
 
 }  // namespace
 
@@ -37,7 +40,7 @@
       shutter = shutter_;
       // Versions of two places have nothing to do with each other. Only this thread tells lists, so one of
       // the old place that was still on the way can't come after the whole list of the new one.
-      if (std::exchange(moved_, false)) version_ = kWholeList, heed(Was::moved);
+      if (std::exchange(moved_, false)) version_ = kWholeList, next_ = pace_.after(steady(Moment::clock::now()), Was::moved);
     }
     Was was = Was::lost;
     ++counters_.watches;
@@ -49,22 +52,10 @@
     const bool ended_between = was == Was::lost && pace_.goes_on();
     if (!shutter->is_shut() && !ended_between) ++counters_.watches_failed;
     if (was == Was::silent) ++counters_.watches_silent;
-    heed(was);
+    next_ = pace_.after(steady(Moment::clock::now()), was);
   }
 }
 
-Tenths Watch::now() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(Moment::clock::now().time_since_epoch()).count() / 100;
-}
-
-void Watch::heed(Was was) {
-  const Tenths at = now();
-  next_ = pace_.after(at, was);
-  if (pace_.list_expires_at() == expires_at_) return;
-  expires_at_ = pace_.list_expires_at();
-  balancer_.list_expires_in(expires_at_ == INT64_MAX ? INT64_MAX : expires_at_ - at);
-}
-
 void Watch::pause(std::chrono::microseconds time) {
   std::unique_lock held(lock_);
   changed_.wait_for(held, time, [this] { return stopped_ || moved_; });
@@ -119,7 +110,7 @@
     const bool news = list.full || !list.entries.empty();
     balancer_.told(list.full ? ListForm::full : ListForm::delta, list.entries);
     if (on_list_) on_list_();
-    heed(Was::answered);
+    next_ = pace_.after(steady(Moment::clock::now()), Was::answered);
     // A service that does not wait would be asked without end.
     if (!news && Moment::clock::now() - asked < kTooSoon) pause(kTooSoon);
     if (!r.keep_alive) return Was::lost;
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -19,7 +19,7 @@
   Watch(core::Balancer& balancer, Directory& directory, Counters& counters, const sockaddr_in& discovery,
         std::int64_t version, std::uint64_t seed, std::function<void()> on_list = {})
       : balancer_(balancer), directory_(directory), counters_(counters), discovery_(discovery),
-        version_(version), pace_(seed, now()), on_list_(std::move(on_list)) {}
+        version_(version), pace_(seed), on_list_(std::move(on_list)) {}
   void run();                               // until stop() here and at the balancer
   void stop();                              // ends a call that is out
   void move(const sockaddr_in& discovery);  // the same, and goes on at another place from its whole list on
@@ -29,8 +29,6 @@
 
   using Was = core::WatchPace::Was;
   void follow();  // until stop()
-  static Tenths now();  // on the pace's clock
-  void heed(core::WatchPace::Was was);  // what became of a call
   void pause(std::chrono::microseconds time);  // unless it is over, or goes on at another place
   Was calls_on_one_connection(const sockaddr_in& discovery, Shutter& shutter);
 
@@ -45,7 +43,6 @@
   std::int64_t version_;  // this and the next two: used by run() alone
   core::WatchPace pace_;
   core::WatchPace::Next next_ = pace_.first();
-  Tenths expires_at_ = INT64_MAX;  // the list, as the decisions were told
   const std::function<void()> on_list_;  // after each list that was told
 };
 
