--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,17 +24,12 @@
 using namespace troutstage;
 
 constexpr std::string_view kVersion = "0.3.0";
-// After the order to stop, connections go on coming for some tenths of a second. The platform kills the
-// program so long after the longest time limit, of which it counts three seconds at the most.
-constexpr std::chrono::milliseconds kAccepting{550}, kKilled{700}, kLongestLimit{3000};
-constexpr std::chrono::milliseconds kSpare{100};
 
-net::Stop stop_before_the_kill(const Settings& settings) {
+core::Stop stop_before_kill(const Settings& settings) {
   std::chrono::milliseconds longest{0};
   for (const Workload& w : settings.workloads)
     longest = std::max(longest, std::chrono::milliseconds(w.time_limit / 10));
-  const auto end = std::min(longest, kLongestLimit) + kKilled - kSpare;
-  return {kAccepting, end * 3 / 4, end};
+  return core::stop_before_kill(longest);
 }
 
 std::string environment(const char* name) {
@@ -119,7 +114,7 @@
     if (got == SIGHUP) node.reload(path);
     else log::info("{}", node.counters_text());
   }
-  node.stop(stop_before_the_kill(*node.settings()));
+  node.stop(stop_before_kill(*node.settings()));
   log::info("{}", node.counters_text());
   return 0;
 }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 
 #include "log/log.h"
@@ -20,6 +21,7 @@
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr std::string_view kText = "text/plain";
+constexpr std::array<std::string_view, 6> kNextNames = {"hand_off", "recall", "succeeded", "rejected", "given_up", "gone"};  // of core::Next
 
 // Counts an invocation as open for as long as it lives.
 class OpenOne {
@@ -51,11 +53,16 @@
 };
 
 Client::Client(Node& node, Fd fd, bool has_place)
-    : node_(node), fd_(std::move(fd)), in_(fd_.get()), has_place_(has_place) {
+    : node_(node), id_(node.connections_.fetch_add(1) + 1), fd_(std::move(fd)), in_(fd_.get()), has_place_(has_place) {
   node_.opened(has_place_);
 }
 // Nobody may know the descriptor any more when it is closed: its number is soon another connection's.
 Client::~Client() {
+  ++node_.counters_.closed[static_cast<std::size_t>(closing_)];
+  if (log::wanted(log::Level::debug))
+    log::event("connection_closed", {{"connection", id_}, {"why", kClosingNames[static_cast<std::size_t>(closing_)]}, {"answers", std::uint64_t{answered_}},
+                                     {"open_ms", std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(Moment::clock::now() - connected_).count()}}},
+               log::Level::debug);
   fd_.reset();
   if (answered_ >= 2) --node_.came_back_;
   node_.closed(has_place_);
@@ -66,6 +73,7 @@
 std::optional<Lobby::Wait> Client::serve() {
   for (;;) {
     rejected_ = false;
+    closing_ = Closing::by_client;
     const auto wait = serve_one();
     const bool stays = wait == Lobby::Wait::once || wait == Lobby::Wait::next;
     if (!stays || !rejected_ || wait_readable(fd_.get(), Moment::clock::now() + kAtOnce) != Io::done)
@@ -80,7 +88,7 @@
     Node::Reading reading(node_, fd_.get());
     const Moment begun = std::exchange(first_, false) ? connected_ : Moment::clock::now();
     auto request = read_request(in_, begun + kSlowestHead, bad);
-    if (!request) return refuse(bad);
+    if (!request) return refuse(ended_here(reading, bad));
     work->request = std::move(*request);
     Request& r = work->request;
     if (!own(r) && !wanted(*work, bad)) return refuse(bad);
@@ -91,7 +99,7 @@
     };
     if (!read_body(in_, r, bad, limit, [&](std::size_t size) { return work->bytes.take(size); })) {
       if (bad.cause == Bad::no_room && work->offer.answers) ++work->offer.answers->rejected;
-      return refuse(bad);
+      return refuse(ended_here(reading, bad));
     }
     work->flows = !r.rest.whole();
     // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
@@ -107,18 +115,26 @@
     return answered_ >= 2 ? Lobby::Wait::next : Lobby::Wait::once;
   }
   if (resets_) return std::nullopt;
+  if (closing_ == Closing::by_client) closing_ = Closing::last_answer;
   // What is still unread would turn the closing into a reset, and that could overtake the answer.
   ::shutdown(fd_.get(), SHUT_WR);
   return Lobby::Wait::end;
 }
 
+// What this node has ended the reading of, to make room or since it stops, looks as if its client had ended it. That waits
+// for an answer, and nothing was handed off.
+BadRequest Client::ended_here(const Node::Reading& reading, const BadRequest& bad) {
+  return bad.cause == Bad::cut && reading.was_ended() ? BadRequest{503, Bad::reading_ended} : bad;
+}
+
 std::optional<Lobby::Wait> Client::refuse(const BadRequest& bad) {
   if (bad.cause == Bad::none) return std::nullopt;  // it just closed
   if (bad.cause == Bad::no_room) ++node_.counters_.turned_off_full;
   else ++node_.counters_.bad[static_cast<std::size_t>(bad.cause)];
   const std::string_view why = kBadNames[static_cast<std::size_t>(bad.cause)];
-  log::debug("bad request: {}", why);
+  log::event("bad_request", {{"connection", id_}, {"why", why}}, log::Level::debug);
   if (bad.status == 0) return std::nullopt;
+  closing_ = Closing::bad_request;
   // What follows on this connection can't be told apart any more, or would be the same again at once.
   reply(bad.status, fmt::format("{}\n", why), false);
   ::shutdown(fd_.get(), SHUT_WR);
@@ -132,9 +148,8 @@
 }
 
 bool Client::throw_away() {
-  const std::size_t some = net::throw_away(fd_.get());
-  thrown_away_ += some;
-  return some > 0 && thrown_away_ < kMostThrownAway;
+  const Io io = net::throw_away(fd_.get(), thrown_away_);
+  return (io == Io::done || io == Io::late) && thrown_away_ < kMostThrownAway;
 }
 
 bool Client::own(const Request& request) {
@@ -214,7 +229,7 @@
       const core::Step step = node_.balancer_.pick(ticket);
       if (step.what == core::Next::hand_off) hand_off(work, step);
       else if (step.what == core::Next::recall) recall(*work, step.number);
-      else return end(*work, step, wants_more && !node_.lets_go());
+      else return trace_answer(*work, kNextNames[static_cast<std::size_t>(step.what)], arrived), end(*work, step, wants_more && !node_.lets_go());
     }
   } catch (const std::exception& broke) {  // ends this invocation, with an answer that promises nothing
     log::error("invocation: {}", broke.what());
@@ -230,6 +245,15 @@
   if (n < work.exchanges.size() && work.exchanges[n]) work.exchanges[n]->recall();
 }
 
+// One request's end, for who follows it by its transaction through connection, hand-offs and answer.
+void Client::trace_answer(const Work& work, std::string_view how, Tenths arrived) const {
+  if (!log::wanted(log::Level::debug)) return;
+  log::event("answered", {{"transaction", std::string_view(work.request.transaction)}, {"connection", id_}, {"how", how},
+                          {"hand_offs", std::uint64_t{work.exchanges.size()}}, {"held_ms", std::int64_t{(node_.clock_.now() - arrived) / 10}},
+                          {"told_ms", work.request.remaining_ms}},
+             log::Level::debug);
+}
+
 // Writes an invocation's one answer.
 bool Client::end(const Work& work, const core::Step& step, bool keep) {
   if (step.what == core::Next::gone) return ++node_.counters_.client_gone, false;
@@ -276,6 +300,7 @@
   ++(whole ? work.offer.answers->succeeded : work.offer.answers->given_up);
   if (whole) return keep;
   ++node_.counters_.answers_cut;
+  closing_ = Closing::answer_cut;
   // With no length and no chunks its end is the connection's: only a reset tells a break from that.
   const linger at_once{1, 0};
   resets_ = !has_length && !in_chunks;
@@ -372,6 +397,7 @@
   const Moment limit = Moment::clock::now() + kSlowestReader;
   if (write_both(fd_.get(), std::move(head), body, limit) == Io::done) return true;
   ++node_.counters_.answers_unread;
+  closing_ = Closing::answer_cut;
   return false;
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "net/closing.h"
 #include "net/exchange.h"
 #include "net/http.h"
 #include "net/node.h"
@@ -19,18 +20,21 @@
   std::optional<Lobby::Wait> serve();
   void turn_away();   // the same where no thread is to be had: it blocks on nothing
   bool throw_away();  // some of what came after the last answer; false: it is over
+  void closes_for(Closing why) { closing_ = why; }  // should it end now
 
  private:
   struct Work;  // what the hand-offs of one invocation share
 
   std::optional<Lobby::Wait> serve_one();
   std::optional<Lobby::Wait> refuse(const BadRequest& bad);
+  static BadRequest ended_here(const Node::Reading& reading, const BadRequest& bad);
   bool own(const Request& request);
   bool wanted(Work& work, BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
   bool pass_on(const Work& work, Exchange& exchange, bool keep);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived);
   bool end(const Work& work, const core::Step& step, bool keep);
+  void trace_answer(const Work& work, std::string_view how, Tenths arrived) const;
   static void recall(const Work& work, int number);
   static void over(Node& node, const Work& work, int number, Ended ended);
   static void trace(const Work& work, int number, const Target& target, Moment begun, const Exchange& exchange, Ended ended);
@@ -41,6 +45,7 @@
   bool reply(int status, std::string_view text, bool keep_alive, std::string_view headers = "");
 
   Node& node_;
+  const std::uint64_t id_;  // of the connection, in the log
   Fd fd_;
   Reader in_;
   const Moment connected_ = Moment::clock::now();
@@ -50,6 +55,7 @@
   bool lasts_ = true;         // false: this request is the last one
   bool may_tell_leaving_ = true;  // an end of its sending is the client's own
   bool resets_ = false;       // its last answer broke where only a reset shows it
+  Closing closing_ = Closing::by_client;
   const bool has_place_;      // else its one request is turned away
   std::size_t thrown_away_ = 0;
 };
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <chrono>
 
+#include "log/log.h"
+#include "net/failures.h"
+
 namespace troutstage::net {
 
 std::shared_ptr<Answers> AnswersByName::of(const std::string& workload) {
@@ -32,6 +35,12 @@
 
 }  // namespace
 
+void Counters::was_held_up(std::chrono::milliseconds span) {
+  ++held_up;
+  const auto ms = static_cast<std::uint64_t>(span.count());
+  if (ms > held_up_longest_ms) held_up_longest_ms = ms;
+  log::event("held_up", {{"ms", ms}});
+}
 void Counters::list_came() { list_at = steady_ms(); }
 std::int64_t Counters::list_age_ms() const {
   const std::int64_t came = list_at;
@@ -71,6 +80,10 @@
   line("answers_cut", answers_cut.load());
   line("bodies_flowed", bodies_flowed.load());
   line("answers_flowed", answers_flowed.load());
+  for (std::size_t i = 0; i < closed.size(); ++i) line(fmt::format("closed_{}", kClosingNames[i]), closed[i].load());
+  line("held_up", held_up.load());
+  line("held_up_longest_ms", held_up_longest_ms.load());
+  line("shortages", shortages());
   line("watches", watches.load());
   line("watches_failed", watches_failed.load());
   line("watches_silent", watches_silent.load());
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -3,12 +3,14 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 
+#include "net/closing.h"
 #include "net/ending.h"
 #include "net/http.h"
 
@@ -51,11 +53,14 @@
   Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0},
       turned_off_stopping{0}, answers_unread{0}, answers_cut{0}, bodies_flowed{0}, answers_flowed{0};
   std::array<Count, kBadNames.size()> bad{};  // requests, by what is wrong with them
+  std::array<Count, kClosingNames.size()> closed{};  // clients' connections, by why
+  Count held_up{0}, held_up_longest_ms{0};  // times that the process stood still for 50 ms or longer, as far as it was seen
   Count watches{0}, watches_failed{0}, watches_silent{0};  // begun; ended by anything but an answer; of those, silent
   std::atomic<std::int64_t> list_at{-1};  // of the steady clock, in ms: when discovery last answered with a list; -1: never
   Count reloads{0}, reloads_failed{0};
   AnswersByName answers;
 
+  void was_held_up(std::chrono::milliseconds span);
   void list_came();
   std::int64_t list_age_ms() const;  // -1: none has come yet
   void count(Ended how) { ++ended[static_cast<std::size_t>(how)]; }
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -50,7 +50,9 @@
   if (shutter_.is_shut()) return Ended::recalled_unsent;
   if (!open) {
     const Moment limit = std::min({until, begins.by, Moment::clock::now() + connect_limit_});
-    if (connect_to(fd, target.address, limit) != Io::done) return limit == begins.by ? Ended::withdrawn : Ended::not_connected;
+    const Io io = connect_to(fd, target.address, limit);
+    if (io == Io::short_of) return Ended::no_room;
+    if (io != Io::done) return limit == begins.by ? Ended::withdrawn : Ended::not_connected;
     ++counters_.connections_opened;
   }
   // Decided on, it may have waited for a thread and a connection for longer than a drain or a window allows.
@@ -85,7 +87,7 @@
     if (flow.next(piece) != Got::whole) return ended = Ended::source_broke, false;
     if (shutter_.is_shut() || write_all(fd, body_piece(*flow.rest, piece), until) != Io::done) return false;
     // An answer before all was sent: the backend wants no more of it, and has not begun.
-    if (!flow.rest->whole() && holds_bytes(fd)) {
+    if (!flow.rest->whole() && look_at(fd) == Unread::bytes) {
       if (read_answer(until) == Ended::turned_away) ended = Ended::turned_away;
       answer_.keep_alive = false;
       return false;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -183,7 +183,8 @@
     case Io::done: return Got::whole;
     case Io::late: return patience < limit ? Got::stalled : Got::late;
     case Io::ended: return Got::nothing;
-    case Io::broken: break;
+    case Io::broken:
+    case Io::short_of: break;
   }
   return Got::cut;
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -121,12 +121,13 @@
   no_label,
   id_open,
   ahead,
-  no_room
+  no_room,
+  reading_ended  // from here, before it had come whole
 };
-inline constexpr std::array<std::string_view, 16> kBadNames = {
+inline constexpr std::array<std::string_view, 17> kBadNames = {
     "none",      "cut",         "slow",         "malformed",   "too_large",   "two_lengths",
     "no_length", "wrong_field", "wrong_method", "no_workload", "body_of_get", "no_limit",
-    "no_label",  "id_open",     "ahead",        "no_room"};
+    "no_label",  "id_open",     "ahead",        "no_room",     "reading_ended"};
 struct BadRequest {
   int status = 0;  // 0: there is nobody to tell
   Bad cause = Bad::none;
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <system_error>
 
+#include "log/log.h"
 #include "net/client.h"
 
 namespace troutstage::net {
@@ -19,28 +20,29 @@
 constexpr std::chrono::milliseconds kStay[] = {std::chrono::milliseconds(2000), std::chrono::seconds(2),
                                                std::chrono::seconds(8), std::chrono::milliseconds(1000)};
 constexpr std::chrono::milliseconds kLook{100};  // how exactly that is kept
+constexpr std::chrono::milliseconds kWatchAgain{2};  // between tries to have a socket monitored
 
 }  // namespace
 
 Lobby::Lobby(Ready ready, const Most& most)
-    : ready_(std::move(ready)), most_(most), poll_(::epoll_create1(EPOLL_CLOEXEC)),
-      wake_(::eventfd(0, EFD_CLOEXEC)) {
-  epoll_event event{};
-  event.events = EPOLLIN;
-  if (!poll_ || !wake_ || ::epoll_ctl(poll_.get(), EPOLL_CTL_ADD, wake_.get(), &event) != 0)
+    : ready_(std::move(ready)), most_(most), poll_(new_monitor()), wake_(new_event()) {
+  if (!persist("epoll_ctl", [this] { return monitor(poll_.get(), wake_.get(), EPOLLIN, 0); }))
     throw std::system_error(errno, std::generic_category(), "can't watch idle clients");
 }
 
 void Lobby::run() {
-  for (Moment next_look;;) {
+  for (Moment next_look; !stopped_;) {
     std::array<epoll_event, 64> events{};
-    const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()),
-                               static_cast<int>(kLook.count()));
-    if (n < 0 && errno != EINTR) return;
+    const auto wait = any_unwatched_ ? kWatchAgain : kLook;
+    const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
+    if (n < 0 && classify(errno) == Failure::other) return log::error("idle clients are watched no more: error {}", errno);
     for (int i = 0; i < n; ++i) {
-      if (events[static_cast<std::size_t>(i)].data.u64 == 0) return;
-      look(events[static_cast<std::size_t>(i)].data.u64);
+      const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
+      std::uint64_t woken = 0;
+      if (id != 0) look(id);
+      else if (::read(wake_.get(), &woken, sizeof woken) < 0) log::debug("nobody woke the lobby");
     }
+    if (any_unwatched_) watch_unwatched();
     if (const Moment now = Moment::clock::now(); now >= next_look) {
       next_look = now + kLook;
       close_old();
@@ -49,10 +51,24 @@
 }
 
 void Lobby::stop() {
+  stopped_ = true;
+  wake();
+}
+
+void Lobby::wake() {
   const std::uint64_t one = 1;
   [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
 }
 
+void Lobby::watch_unwatched() {
+  std::lock_guard held(lock_);
+  std::erase_if(unwatched_, [this](std::uint64_t id) {
+    const auto at = all_.find(id);
+    return at == all_.end() || monitor(poll_.get(), at->second.client->fd(), EPOLLIN, id);
+  });
+  any_unwatched_ = !unwatched_.empty();
+}
+
 void Lobby::enter(std::shared_ptr<Client> client, Wait wait) {
   std::lock_guard held(lock_);
   admit(std::move(client), wait);
@@ -65,25 +81,35 @@
   if (++waiting_[static_cast<std::size_t>(wait)] > most_[static_cast<std::size_t>(wait)]) {
     const auto oldest = std::find_if(all_.begin(), all_.end(),
                                      [wait](const auto& waiting) { return waiting.second.wait == wait; });
-    if (oldest != all_.end()) leave(oldest);
+    if (oldest != all_.end()) leave(oldest, Closing::room);
   }
   const Moment now = Moment::clock::now();
   const int fd = client->fd();
   all_.emplace(next_, Waiting{std::move(client), wait, now, now + kStay[static_cast<std::size_t>(wait)]});
-  epoll_event event{};
-  event.events = EPOLLIN;
-  event.data.u64 = next_++;
-  ::epoll_ctl(poll_.get(), EPOLL_CTL_ADD, fd, &event);
+  const std::uint64_t id = next_++;
+  if (monitor(poll_.get(), fd, EPOLLIN, id)) return;
+  // Never looked at, a request on it would be found at the connection's end only.
+  unwatched_.insert(id);
+  any_unwatched_ = true;
+  wake();
 }
 
 // With the lock held.
-void Lobby::leave(All::iterator at) {
+void Lobby::leave(All::iterator at, Closing why) {
+  const int fd = at->second.client->fd();
+  const bool was_told_last = at->second.wait == Wait::end;
+  const Unread unread = was_told_last ? Unread::none : look_at(fd);
+  const bool seems_to_have_come = why == Closing::by_client && !was_told_last;
+  if (seems_to_have_come ? unread == Unread::none : unread == Unread::unknown) return;
   Waiting gone = std::move(at->second);
+  unwatched_.erase(at->first);
   all_.erase(at);
-  ::epoll_ctl(poll_.get(), EPOLL_CTL_DEL, gone.client->fd(), nullptr);
+  stop_monitoring(poll_.get(), fd);
   --waiting_[static_cast<std::size_t>(gone.wait)];
+  const bool is_over = unread == Unread::ended || unread == Unread::broken;
+  gone.client->closes_for(is_over ? Closing::by_client : was_told_last ? Closing::last_answer : why);
   // A request that has come is answered, whatever the connection was to leave for.
-  if (gone.wait == Wait::end || !holds_bytes(gone.client->fd()) || ready_(gone.client)) return;
+  if (is_over || unread == Unread::none || ready_(gone.client)) return;
   // Closed now, over a request that nobody has read, the connection would be reset and its answer lost.
   gone.client->turn_away();
   admit(std::move(gone.client), Wait::end);
@@ -94,7 +120,7 @@
   const auto at = all_.find(id);
   if (at == all_.end()) return;
   if (at->second.wait == Wait::end && at->second.client->throw_away()) return;
-  leave(at);
+  leave(at, Closing::by_client);
 }
 
 void Lobby::close_old() {
@@ -102,7 +128,7 @@
   const Moment now = Moment::clock::now();
   for (auto at = all_.begin(); at != all_.end();) {
     const auto next = std::next(at);
-    if (at->second.limit <= now) leave(at);
+    if (at->second.limit <= now) leave(at, Closing::idle);
     at = next;
   }
 }
@@ -114,8 +140,10 @@
   for (const Wait wait : {Wait::end, Wait::once, Wait::next, Wait::first}) {
     if (but_new && wait == Wait::first) continue;
     for (auto at = all_.begin(); at != all_.end(); ++at) {
-      if (at->second.wait != wait || (wait != Wait::end && holds_bytes(at->second.client->fd()))) continue;
-      leave(at);
+      if (at->second.wait != wait) continue;
+      const Unread unread = wait == Wait::end ? Unread::none : look_at(at->second.client->fd());
+      if (unread == Unread::bytes || unread == Unread::unknown) continue;
+      leave(at, Closing::room);
       return true;
     }
   }
@@ -131,7 +159,7 @@
   std::lock_guard held(lock_);
   for (auto at = all_.begin(); at != all_.end();) {
     const auto next = std::next(at);
-    if (all || at->second.wait != Wait::end) leave(at);
+    if (all || at->second.wait != Wait::end) leave(at, Closing::stopping);
     at = next;
   }
 }
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
+#include "net/closing.h"
 #include "net/socket.h"
 
 namespace troutstage::net {
@@ -44,11 +47,14 @@
     Moment since, limit;
   };
   using All = std::map<std::uint64_t, Waiting>;  // the oldest first
-  // Takes one out, and gives it to whom it goes: what has come on it is still looked at.
-  void leave(All::iterator at);
+  // Takes one out, and gives it to whom it goes: what has come on it is still looked at. Where that look fails, it
+  // stays, unless something is known to have come (`by_client`).
+  void leave(All::iterator at, Closing why);
   void admit(std::shared_ptr<Client> client, Wait wait);
   void look(std::uint64_t id);
   void close_old();
+  void wake();
+  void watch_unwatched();
 
   const Ready ready_;
   const Most most_;
@@ -58,6 +64,8 @@
   All all_;
   std::uint64_t next_ = 1;
   Most waiting_{};  // how many wait for each thing
+  std::set<std::uint64_t> unwatched_;  // those that the monitor could not take yet
+  std::atomic<bool> any_unwatched_{false}, stopped_{false};
 };
 
 }  // namespace troutstage::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <thread>
 
 #include "log/log.h"
 #include "net/client.h"
@@ -15,6 +16,10 @@
 constexpr Tenths kDay = 24 * 3600 * Tenths{10000};
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
+constexpr std::chrono::milliseconds kHeldUp{50};  // a wait that ends so much too late says that the process stood still
+constexpr std::chrono::milliseconds kAcceptAgain{1}, kAcceptShortage{10};  // before accepting again after a failure
+// A shortage that lasts for so many tries is not over in a moment: room is made, at last also by what has said nothing yet.
+constexpr int kShortagesBorne = 3, kShortagesBorneForNew = 12;
 constexpr std::chrono::milliseconds kSettle{20};  // what a backend sends beyond its answer comes sooner
 constexpr std::chrono::milliseconds kFarewell{500};  // for the other nodes to hear that this one leaves
 // The front hears of a drain within some tenths of a second and sends new connections until then: what is
@@ -116,17 +121,28 @@
 Node::~Node() { stop({}); }
 
 void Node::start() {
-  accept_over_ = false;
   // On sockets every list comes by a watch; where the decisions needn't ask for it, the node does.
   if (!config_.settings.must_ask) balancer_.watch_now();
-  if (!inner_.run([this] { balancer_.run_ticks(); }) || !inner_.run([this] { watch_->run(); }) ||
-      !inner_.run([this] { vigil_.run(); }) || !inner_.run([this] { lobby_.run(); }) ||
-      !inner_.run([this] { housekeep(); }) || !inner_.run([this] { accept_all(); }) ||
-      (peers_ && !inner_.run([this] { peers_->run(); })))
-    throw std::runtime_error("can't start the node's threads");
+  start_thread("timers", [this] { balancer_.run_ticks(); });
+  start_thread("discovery", [this] { watch_->run(); });
+  start_thread("clients' ends", [this] { vigil_.run(); });
+  start_thread("idle clients", [this] { lobby_.run(); });
+  start_thread("housekeeping", [this] { housekeep(); });
+  if (peers_) start_thread("membership", [this] { peers_->run(); });
+  start_thread("accepting", [this] { accept_all(); });
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
 
+void Node::start_thread(std::string_view what, const std::function<void()>& job) {
+  const bool accepts = what == "accepting";
+  if (accepts) accept_over_ = false;
+  // No thread to be had for a moment is no reason not to start.
+  const auto run = [&] { return inner_.run(job) || (errno = ENOMEM, false); };
+  if (persist("pthread_create", run)) return;
+  if (accepts) accept_over_ = true;
+  throw std::runtime_error("can't start the thread for " + std::string(what));
+}
+
 int Node::port() const { return port_of(listener_.get()); }
 
 void Node::accept_all() {
@@ -137,6 +153,7 @@
       changed_.wait_for(held, kLook, [this] { return over_budget_ < reserve_; });
       if (over_budget_ >= reserve_) {
         held.unlock();
+        if (leaving_ && Moment::clock::now() >= accept_by_.load()) break;
         if (paired_) lobby_.make_room(true);
         continue;
       }
@@ -150,20 +167,9 @@
     }
     // Once this node accepts no more, those that the system has taken for it already are still served.
     const bool last = leaving_;
-    if (!last && wait_readable(listener_.get(), Moment::clock::now() + kLook) != Io::done) continue;
-    Fd fd = accept_from(listener_.get());
-    if (!fd) {
-      if (last) break;
-      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-        ++counters_.accepts_failed;
-        if (!lobby_.make_room()) end_slow_ones();
-        std::unique_lock held(lock_);
-        changed_.wait_for(held, std::chrono::milliseconds(10));
-      }
-      continue;
-    }
-    ++counters_.connections_taken;
-    take(std::move(fd));
+    if (last && Moment::clock::now() >= accept_by_.load()) break;
+    if (!last && !await_client()) continue;
+    if (!accepted(accept_from(listener_.get()), last)) break;
   }
   std::lock_guard held(lock_);
   listener_.reset();
@@ -171,6 +177,42 @@
   changed_.notify_all();
 }
 
+bool Node::await_client() {
+  const Moment until = Moment::clock::now() + kLook;
+  const Io io = wait_readable(listener_.get(), until);
+  if (io == Io::done) return true;
+  const Moment now = Moment::clock::now();
+  if (now - until >= kHeldUp) counters_.was_held_up(std::chrono::duration_cast<std::chrono::milliseconds>(now - until));
+  // A monitor that can't be asked must not be asked without end.
+  if (io == Io::broken) std::this_thread::sleep_for(kAcceptShortage);
+  return false;
+}
+
+// What became of one call of accept(). Only the system's word that nothing is there means that there is nothing more.
+bool Node::accepted(Accepted&& one, bool last) {
+  if (one.what == Accept::taken) {
+    accept_shortages_ = 0;
+    ++counters_.connections_taken;
+    take(std::move(one.fd));
+    return true;
+  }
+  if (one.what == Accept::none) return !last;
+  ++counters_.accepts_failed;
+  log::event("accept_failed", {{"error", std::int64_t{one.error}}}, log::Level::debug);
+  if (one.what == Accept::again) {
+    std::this_thread::sleep_for(kAcceptAgain);
+    return true;
+  }
+  note_shortage("accept", one.error);
+  if (one.what == Accept::shortage && ++accept_shortages_ >= kShortagesBorne) {
+    // A descriptor is wanted: what holds one without need goes first, and what may have a request on its way last.
+    if (!lobby_.make_room(accept_shortages_ < kShortagesBorneForNew)) end_slow_ones(kSlow);
+  }
+  std::unique_lock held(lock_);
+  changed_.wait_for(held, kAcceptShortage);
+  return true;
+}
+
 void Node::take(Fd fd) {
   try {
     lobby_.enter(std::make_shared<Client>(*this, std::move(fd), find_place()), Lobby::Wait::first);
@@ -196,7 +238,7 @@
     if (took == Budget::Took::all_full && pool_.shed()) continue;
     // While two processes share the places each new connection would end the one before it unheard.
     if (lobby_.make_room(paired_)) continue;
-    if (!end_slow_ones()) return false;
+    if (!end_slow_ones(kSlow)) return false;
     std::unique_lock held(lock_);
     changed_.wait_for(held, std::chrono::milliseconds(5));
   }
@@ -204,11 +246,11 @@
 }
 
 // Slow senders must not keep out all others.
-bool Node::end_slow_ones() {
+bool Node::end_slow_ones(std::chrono::milliseconds slow) {
   std::lock_guard held(lock_);
   bool any = false;
   for (Reading* reading : reading_) {
-    if (reading->ended_ || Moment::clock::now() - reading->since_ < kSlow) continue;
+    if (reading->ended_ || Moment::clock::now() - reading->since_ < slow) continue;
     any = reading->ended_ = true;
     ::shutdown(reading->fd_, SHUT_RD);
   }
@@ -417,7 +459,11 @@
   log::info("stopping");
   const Moment told = Moment::clock::now();
   const bool has_end = how.answering.count() >= 0;
-  if (has_end) balancer_.answer_all_by(clock_.now() + how.answering.count() * 10);
+  if (has_end) balancer_.answer_all_by(clock_.now() + how.answering.count() * 10), accept_by_ = told + how.answering;
+  const auto stage = [&](std::string_view name, std::size_t open) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(Moment::clock::now() - told).count();
+    log::event("stop", {{"stage", name}, {"ms", std::int64_t{ms}}, {"clients", std::uint64_t{open}}, {"held", counters_.open.load()}});
+  };
   hands_over_ = sibling_ && sibling_->other_lives();
   if (hands_over_) log::info("a successor takes what comes");
   // A successor is the same member; else the others are told at once, and not left to find out.
@@ -432,14 +478,18 @@
   // closed at once, two nodes that were stopped one after the other left all requests without one.
   if (!hands_over_) changed_.wait_until(held, told + how.keeping, [this] { return open_ == 0; });
   leaving_ = true;
+  stage("leaving", open_);
   while (open_ > 0 || !accept_over_) {
     held.unlock();
-    lobby_.close_idle(has_end && Moment::clock::now() > told + how.answering);
-    if (!hands_over_ || Moment::clock::now() > told + kSlowestHead) end_slow_ones();
+    const bool at_end = has_end && Moment::clock::now() > told + how.answering;
+    lobby_.close_idle(at_end);
+    if (at_end) end_slow_ones({});
+    else if (!hands_over_ || Moment::clock::now() > told + kSlowestHead) end_slow_ones(kSlow);
     held.lock();
     changed_.wait_for(held, std::chrono::milliseconds(20), [this] { return open_ == 0 && accept_over_; });
   }
   stopped_ = true;
+  stage("clients gone", open_);
   changed_.notify_all();
   held.unlock();
   clients_.finish();
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -9,6 +9,7 @@
 #include "config/config.h"
 #include "core/balancer.h"
 #include "core/stage.h"
+#include "core/stop_plan.h"
 #include "net/counters.h"
 #include "net/directory.h"
 #include "net/lobby.h"
@@ -36,12 +37,7 @@
   Tenths wall_offset_;
 };
 
-// How a node stops, in times from the order to.
-struct Stop {
-  std::chrono::milliseconds accepting{0};   // connections still come for so long
-  std::chrono::milliseconds keeping{0};     // clients' connections stay in use, unless all have gone before
-  std::chrono::milliseconds answering{-1};  // what comes after the order is answered by then; -1: in its time
-};
+using core::Stop;
 
 class Node {
  public:
@@ -94,11 +90,14 @@
   void heed_sibling();
   void share_with(int nodes);  // counts itself as one of so many from now on
   void go_by(std::shared_ptr<Settings> now);
+  void start_thread(std::string_view what, const std::function<void()>& job);
   void accept_all();
+  bool await_client();                    // until one is there to accept; false: look again at how things stand
+  bool accepted(Accepted&& one, bool last);  // false: there is nothing more to accept
   void take(Fd fd);
   bool work_for(const std::shared_ptr<Client>& client);  // false: no thread is to be had
   bool find_place();            // false: there is none
-  bool end_slow_ones();         // false: there is none
+  bool end_slow_ones(std::chrono::milliseconds slow);  // that have taken so long already; false: there is none
   bool short_of_connections();  // while it stops
   void housekeep();
   void opened(bool has_place);  // a client's connection, and its end
@@ -135,6 +134,9 @@
   std::atomic<bool> paired_{false};      // another process of this node is there
   std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
   std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
+  std::atomic<Moment> accept_by_{Moment::max()};  // what has not been accepted by then, once it leaves, is not
+  int accept_shortages_ = 0;          // in a row; the accepting thread's own
+  std::atomic<std::uint64_t> connections_{0};  // clients', numbered for the log
   Moment drained_since_;              // guarded by lock_
   std::atomic<std::size_t> came_back_{0};  // clients' connections that were used more than once
   const std::size_t reserve_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,8 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,9 +18,15 @@
 namespace troutstage::net {
 namespace {
 
+// A call that a signal interrupts is made again at once, so often at the most.
+constexpr int kMostInterruptions = 1000;
+constexpr std::chrono::milliseconds kSocketPatience{15};     // with a shortage of sockets
+constexpr std::chrono::milliseconds kAddressPatience{1000};  // with an address that is in use
+constexpr std::chrono::milliseconds kRoutePatience{20};      // with a network that can't be reached
+
 // Waits till `events` are there. The limit is a point in time, so a wait that is interrupted goes on to it.
 Io wait_for(int fd, short events, Moment limit) {
-  for (;;) {
+  for (Backoff backoff(limit);;) {
     const auto left = std::chrono::duration_cast<std::chrono::nanoseconds>(limit - Moment::clock::now());
     if (left.count() <= 0) return Io::late;
     timespec wait{static_cast<time_t>(left.count() / 1000000000),
@@ -27,10 +35,30 @@
     const int n = ::ppoll(&p, 1, &wait, nullptr);
     if (n > 0) return Io::done;
     if (n == 0) return Io::late;
-    if (errno != EINTR) return Io::broken;
+    switch (classify(errno)) {
+      case Failure::interrupted: break;
+      case Failure::not_ready:
+      case Failure::shortage:
+        note_shortage("poll", errno);
+        backoff.pause();
+        break;
+      case Failure::other: return Io::broken;
+    }
   }
 }
 
+// Before a read or a write that failed is made again. `done`: it may be.
+Io wait_after_failure(std::string_view call, int fd, short events, Moment limit, Backoff& backoff) {
+  const int error = errno;
+  switch (classify(error)) {
+    case Failure::interrupted: return Io::done;
+    case Failure::not_ready: return wait_for(fd, events, limit);
+    case Failure::shortage: note_shortage(call, error); return backoff.pause() ? Io::done : Io::late;
+    case Failure::other: break;
+  }
+  return Io::broken;
+}
+
 const sockaddr* plain(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
 }  // namespace
@@ -70,24 +98,62 @@
 }  // namespace
 
 Fd new_socket() {
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  Fd fd;
+  persist("socket", [&] { return static_cast<bool>(fd = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))); }, kSocketPatience);
   send_at_once(fd);
   return fd;
 }
 
-Fd accept_from(int listener) {
-  Fd fd(::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
-  send_at_once(fd);
+Fd new_event() {
+  Fd fd;
+  if (!persist("eventfd", [&] { return static_cast<bool>(fd = Fd(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))); }))
+    throw std::system_error(errno, std::generic_category(), "can't make an event descriptor");
+  return fd;
+}
+
+Fd new_monitor() {
+  Fd fd;
+  if (!persist("epoll_create1", [&] { return static_cast<bool>(fd = Fd(::epoll_create1(EPOLL_CLOEXEC))); }))
+    throw std::system_error(errno, std::generic_category(), "can't monitor sockets");
   return fd;
 }
 
+Accepted accept_from(int listener) {
+  Fd fd(::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
+  if (fd) {
+    send_at_once(fd);
+    return {Accept::taken, std::move(fd), 0};
+  }
+  const int error = errno;
+  switch (classify(error)) {
+    case Failure::interrupted: return {Accept::again, Fd(), error};
+    case Failure::not_ready: return {Accept::none, Fd(), error};
+    case Failure::shortage: return {Accept::shortage, Fd(), error};
+    case Failure::other: break;
+  }
+  // Errors of the network that one connection came by are passed on by accept(), and say nothing of the next.
+  const bool unusable = error == EBADF || error == EINVAL || error == ENOTSOCK || error == EFAULT;
+  return {unusable ? Accept::broken : Accept::again, Fd(), error};
+}
+
 Fd listen_on(const sockaddr_in& address) {
-  Fd fd = new_socket();
-  const int on = 1;
-  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      ::bind(fd.get(), plain(address), sizeof address) != 0 || ::listen(fd.get(), 1024) != 0 ||
-      ::fcntl(fd.get(), F_SETFL, O_NONBLOCK) != 0)  // another may take what was there to accept
-    throw std::system_error(errno, std::generic_category(), "can't listen on " + address_text(address));
+  const auto try_once = [&address]() -> Fd {
+    Fd fd = new_socket();
+    const int on = 1;
+    const bool listens = fd && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+                         ::bind(fd.get(), plain(address), sizeof address) == 0 && ::listen(fd.get(), 1024) == 0 &&
+                         ::fcntl(fd.get(), F_SETFL, O_NONBLOCK) == 0;  // another may take what was there to accept
+    return listens ? std::move(fd) : Fd();
+  };
+  Fd fd;
+  // A process that was killed a moment ago may still hold it.
+  Backoff until_free(Moment::clock::now() + kAddressPatience);
+  const auto listens = [&] { return persist("listen", [&] { return static_cast<bool>(fd = try_once()); }); };
+  while (!listens()) {
+    const int error = errno;
+    if (error != EADDRINUSE || !until_free.pause())
+      throw std::system_error(error, std::generic_category(), "can't listen on " + address_text(address));
+  }
   return fd;
 }
 
@@ -108,22 +174,60 @@
   return Fd(fd);
 }
 
+namespace {
+
+enum class Dialled { up, under_way, short_of, no_route, unreachable };
+
+// One call of connect(). What it lacks here for a moment is no word of the other side.
+Dialled dial(int fd, const sockaddr_in& address) {
+  if (::connect(fd, plain(address), sizeof address) == 0) return Dialled::up;
+  const int error = errno;
+  if (error == EISCONN) return Dialled::up;
+  // An interrupted one goes on by itself, as one that is under way.
+  if (error == EINPROGRESS || error == EALREADY || error == EINTR) return Dialled::under_way;
+  if (error == EAGAIN || error == EADDRNOTAVAIL || classify(error) == Failure::shortage) {
+    note_shortage("connect", error);
+    return Dialled::short_of;
+  }
+  return error == ENETUNREACH ? Dialled::no_route : Dialled::unreachable;
+}
+
+// Whether a connection that was under way has come up.
+Io await_connection(int fd, Moment limit) {
+  if (const Io io = wait_for(fd, POLLOUT, limit); io != Io::done) return io;
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) return Io::broken;
+  sockaddr_in peer{};
+  size = sizeof peer;
+  // A recall's shutdown ends the wait with no error set: it is connected only if there is another side.
+  return ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 ? Io::done : Io::broken;
+}
+
+Io dial_until(int fd, const sockaddr_in& address, Moment limit) {
+  Backoff backoff(limit), without_route(std::min(limit, Moment::clock::now() + kRoutePatience));
+  for (;;) {
+    switch (dial(fd, address)) {
+      case Dialled::up: return Io::done;
+      case Dialled::under_way: return await_connection(fd, limit);
+      case Dialled::unreachable: return Io::broken;
+      case Dialled::short_of:
+        if (!backoff.pause()) return Io::short_of;
+        break;
+      case Dialled::no_route:
+        if (!without_route.pause()) return Io::broken;
+        break;
+    }
+  }
+}
+
+}  // namespace
+
 Io connect_to(int fd, const sockaddr_in& address, Moment limit) {
   // The socket blocks but for this one call, which the system would let last for minutes.
   const int flags = ::fcntl(fd, F_GETFL);
   ::fcntl(fd, F_SETFL, flags | O_NONBLOCK);
-  Io io = Io::done;
-  if (::connect(fd, plain(address), sizeof address) != 0) {
-    io = errno == EINPROGRESS ? wait_for(fd, POLLOUT, limit) : Io::broken;
-    int error = 0;
-    socklen_t size = sizeof error;
-    if (io == Io::done && (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0))
-      io = Io::broken;
-    sockaddr_in peer{};
-    size = sizeof peer;
-    // A recall's shutdown ends the wait with no error set: it is connected only if there is another side.
-    if (io == Io::done && ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) io = Io::broken;
-  }
+  const Io io = dial_until(fd, address, limit);
   ::fcntl(fd, F_SETFL, flags);
   return io;
 }
@@ -132,30 +236,22 @@
 
 Io read_some(int fd, std::string& into, Moment limit) {
   char bytes[8192];
-  for (;;) {
+  for (Backoff backoff(limit);;) {
     // Looked at first: what is waited for is often there already, and a storm is made of such requests.
     const ssize_t n = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     if (n > 0) return into.append(bytes, static_cast<std::size_t>(n)), Io::done;
     if (n == 0) return Io::ended;
-    if (errno == EAGAIN || errno == EWOULDBLOCK) {
-      if (const Io io = wait_readable(fd, limit); io != Io::done) return io;
-    } else if (errno != EINTR) {
-      return Io::broken;
-    }
+    if (const Io io = wait_after_failure("recv", fd, POLLIN, limit, backoff); io != Io::done) return io;
   }
 }
 
 Io write_all(int fd, std::string_view bytes, Moment limit) {
+  Backoff backoff(limit);
   while (!bytes.empty()) {
     // Never blocks in the call itself: the other side may have stopped reading.
     const ssize_t n = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (n >= 0) {
-      bytes.remove_prefix(static_cast<std::size_t>(n));
-    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-      if (const Io io = wait_for(fd, POLLOUT, limit); io != Io::done) return io;
-    } else if (errno != EINTR) {
-      return Io::broken;
-    }
+    if (n >= 0) bytes.remove_prefix(static_cast<std::size_t>(n));
+    else if (const Io io = wait_after_failure("send", fd, POLLOUT, limit, backoff); io != Io::done) return io;
   }
   return Io::done;
 }
@@ -167,25 +263,66 @@
   return io == Io::done ? write_all(fd, body, limit) : io;
 }
 
-bool holds_bytes(int fd) {
-  char byte = 0;
-  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+Unread look_at(int fd) {
+  for (int tries = 0; tries < kMostInterruptions; ++tries) {
+    char byte = 0;
+    const ssize_t n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) return Unread::bytes;
+    if (n == 0) return Unread::ended;
+    const int error = errno;
+    switch (classify(error)) {
+      case Failure::interrupted: break;
+      case Failure::not_ready: return Unread::none;
+      case Failure::shortage: note_shortage("recv", error); return Unread::unknown;
+      case Failure::other: return Unread::broken;
+    }
+  }
+  return Unread::unknown;
 }
 
-std::size_t throw_away(int fd) {
-  // Truncated, the bytes are not even copied: what is sent in bulk costs little.
-  const ssize_t n = ::recv(fd, nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT);
-  return n > 0 ? static_cast<std::size_t>(n) : 0;
+Io throw_away(int fd, std::size_t& thrown) {
+  for (int tries = 0; tries < kMostInterruptions; ++tries) {
+    // Truncated, the bytes are not even copied: what is sent in bulk costs little.
+    const ssize_t n = ::recv(fd, nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT);
+    if (n > 0) {
+      thrown += static_cast<std::size_t>(n);
+      return Io::done;
+    }
+    if (n == 0) return Io::ended;
+    const Failure failure = classify(errno);
+    if (failure == Failure::other) return Io::broken;
+    if (failure != Failure::interrupted) break;
+  }
+  return Io::late;
 }
 
-bool still_quiet(int fd) {
-  char byte = 0;
-  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
+bool still_quiet(int fd) { return look_at(fd) == Unread::none; }
 
 bool peer_has_closed(int fd) {
-  pollfd p{fd, POLLRDHUP, 0};
-  return ::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  for (int tries = 0; tries < kMostInterruptions; ++tries) {
+    pollfd p{fd, POLLRDHUP, 0};
+    const int n = ::poll(&p, 1, 0);
+    if (n == 0) return false;
+    if (n > 0) return (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+  return false;
+}
+
+bool monitor(int monitor_fd, int fd, std::uint32_t events, std::uint64_t data) {
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 = data;
+  for (int tries = 0; tries < 10; ++tries) {
+    if (::epoll_ctl(monitor_fd, EPOLL_CTL_ADD, fd, &event) == 0) return true;
+    if (errno == EEXIST && ::epoll_ctl(monitor_fd, EPOLL_CTL_MOD, fd, &event) == 0) return true;
+    note_shortage("epoll_ctl", errno);
+  }
+  return false;
+}
+
+void stop_monitoring(int monitor_fd, int fd) {
+  for (int tries = 0; tries < 10; ++tries)
+    if (::epoll_ctl(monitor_fd, EPOLL_CTL_DEL, fd, nullptr) == 0 || errno == ENOENT) return;
 }
 
 int port_of(int fd) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <utility>
 
-namespace troutstage::net {
+#include "net/failures.h"
 
-using Moment = std::chrono::steady_clock::time_point;
+namespace troutstage::net {
 
 // Owns a descriptor. Only the owner closes it; others may at most shut its connection down.
 class Fd {
@@ -35,13 +35,30 @@
 sockaddr_in parse_address(std::string_view text);  // ADDRESS:PORT; throws Malformed
 std::string address_text(const sockaddr_in& address);
 
-Fd listen_on(const sockaddr_in& address);  // throws std::system_error
+// Throws std::system_error. A shortage, and an address that a process which has just ended still holds, are waited for.
+Fd listen_on(const sockaddr_in& address);
 // A listener that this process was started with. Throws Malformed where it is none, or listens elsewhere.
 Fd inherited_listener(int fd, const sockaddr_in& address);
-Fd accept_from(int listener);  // with no delay of small writes, whoever opened the listener; empty: errno tells why
-Fd new_socket();  // with no delay of small writes; empty where there is none to be had
+Fd new_socket();  // with no delay of small writes; empty where there is none to be had, also after some milliseconds
+Fd new_event();   // an event descriptor for waking a thread; throws std::system_error
+Fd new_monitor();  // an epoll descriptor; throws std::system_error
+
+enum class Accept {
+  taken,
+  none,      // nothing is there to accept
+  again,     // the call was interrupted, or one connection broke before it could be accepted: there may be others
+  shortage,  // of descriptors or memory: the connections stay in the queue
+  broken     // the listener can't be used
+};
+struct Accepted {
+  Accept what = Accept::none;
+  Fd fd;          // where it was taken, with no delay of small writes, whoever opened the listener
+  int error = 0;  // where it was not
+};
+Accepted accept_from(int listener);
 
-enum class Io { done, ended, broken, late };  // ended: the other side closes
+// ended: the other side closes; short_of: this machine had no port, buffer or memory for it until the limit.
+enum class Io { done, ended, broken, late, short_of };
 
 Io connect_to(int fd, const sockaddr_in& address, Moment limit);
 Io wait_readable(int fd, Moment limit);
@@ -49,10 +66,16 @@
 Io write_all(int fd, std::string_view bytes, Moment limit);
 // A large body is not copied behind its head: a full node would hold all of them twice.
 Io write_both(int fd, std::string head, std::string_view body, Moment limit);
-bool holds_bytes(int fd);        // something has come that nobody has read yet
-std::size_t throw_away(int fd);  // some of that, without looking at it; 0: there was none
-bool still_quiet(int fd);        // open, and nothing has come: a connection that may be used again
-bool peer_has_closed(int fd);    // or reset it; also where what it sent before is unread still
+// What stands at the head of what nobody has read. A look that fails is no answer.
+enum class Unread { none, bytes, ended, broken, unknown };
+Unread look_at(int fd);
+// Reads some of that without looking at it; `late`: there was none, and the connection is open.
+Io throw_away(int fd, std::size_t& thrown);
+bool still_quiet(int fd);      // surely open, and nothing has come: a connection that may be used again
+bool peer_has_closed(int fd);  // or reset it; also where what it sent before is unread still
+// Adds a socket to an epoll descriptor, or changes what is waited for on it. False: it is not watched.
+bool monitor(int monitor_fd, int fd, std::uint32_t events, std::uint64_t data);
+void stop_monitoring(int monitor_fd, int fd);
 int port_of(int fd);
 
 }  // namespace troutstage::net
--- a/src/net/vigil.cpp
+++ b/src/net/vigil.cpp
@@ -6,15 +6,14 @@
 
 #include <array>
 #include <cerrno>
-#include <system_error>
+
+#include "log/log.h"
 
 namespace troutstage::net {
 
 Vigil::Vigil(core::Balancer& balancer)
-    : balancer_(balancer), poll_(::epoll_create1(EPOLL_CLOEXEC)), wake_(::eventfd(0, EFD_CLOEXEC)) {
-  epoll_event event{};
-  event.events = EPOLLIN;
-  if (!poll_ || !wake_ || ::epoll_ctl(poll_.get(), EPOLL_CTL_ADD, wake_.get(), &event) != 0)
+    : balancer_(balancer), poll_(new_monitor()), wake_(new_event()) {
+  if (!persist("epoll_ctl", [this] { return monitor(poll_.get(), wake_.get(), EPOLLIN, 0); }))
     throw std::system_error(errno, std::generic_category(), "can't watch clients");
 }
 
@@ -22,7 +21,7 @@
   for (;;) {
     std::array<epoll_event, 32> events{};
     const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()), -1);
-    if (n < 0 && errno != EINTR) return;
+    if (n < 0 && classify(errno) == Failure::other) return log::error("clients are watched no more: error {}", errno);
     for (int i = 0; i < n; ++i) {
       const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
       if (id == 0) return;
@@ -48,14 +47,12 @@
     id_ = vigil_.next_++;
     vigil_.watched_.emplace(id_, std::move(ticket));
   }
-  epoll_event event{};
-  event.events = EPOLLRDHUP | EPOLLONESHOT;
-  event.data.u64 = id_;
-  ::epoll_ctl(vigil_.poll_.get(), EPOLL_CTL_ADD, fd_, &event);
+  // Where it can't be watched, its end is found out right before each attempt.
+  monitor(vigil_.poll_.get(), fd_, EPOLLRDHUP | EPOLLONESHOT, id_);
 }
 
 Vigil::Over::~Over() {
-  ::epoll_ctl(vigil_.poll_.get(), EPOLL_CTL_DEL, fd_, nullptr);
+  stop_monitoring(vigil_.poll_.get(), fd_);
   std::lock_guard held(vigil_.lock_);
   vigil_.watched_.erase(id_);
 }
--- a/src/ops/door.cpp
+++ b/src/ops/door.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <system_error>
+#include <thread>
 
 #include "log/log.h"
 #include "net/http.h"
@@ -21,6 +22,7 @@
 constexpr std::chrono::seconds kPatience{6};   // with a call that does not become whole
 constexpr std::chrono::seconds kFarewell{1};   // for a caller to read its answer and close
 constexpr std::chrono::milliseconds kLook{100};
+constexpr std::chrono::milliseconds kShortage{2};  // before the next try
 constexpr std::size_t kMostIn = 16 * 1024;  // a call's head and body
 
 // The reply to a call that has come whole; nothing while it has not.
@@ -80,8 +82,8 @@
 }
 
 Door::Door(const sockaddr_in& address, Operated& node)
-    : node_(node), listener_(net::listen_on(address)), wake_(::eventfd(0, EFD_CLOEXEC)) {
-  if (!wake_ || !thread_.run([this] { run(); }))
+    : node_(node), listener_(net::listen_on(address)), wake_(net::new_event()) {
+  if (!net::persist("pthread_create", [this] { return thread_.run([this] { run(); }) || (errno = ENOMEM, false); }))
     throw std::system_error(errno, std::generic_category(), "can't serve operators");
   log::info("operators' calls on {}", net::address_text(address));
 }
@@ -97,7 +99,12 @@
     polled.assign({{wake_.get(), POLLIN, 0}, {listener_.get(), POLLIN, 0}});
     for (const Caller& c : callers_)
       polled.push_back({c.fd.get(), static_cast<short>(c.written < c.out.size() ? POLLIN | POLLOUT : POLLIN), 0});
-    if (::poll(polled.data(), polled.size(), static_cast<int>(kLook.count())) < 0 && errno != EINTR) return;
+    if (::poll(polled.data(), polled.size(), static_cast<int>(kLook.count())) < 0) {
+      // What was to be found out is not known: nothing of it is read.
+      if (net::classify(errno) == net::Failure::other) return log::error("operators are served no more: error {}", errno);
+      if (errno != EINTR) std::this_thread::sleep_for(kShortage);
+      continue;
+    }
     if (polled[0].revents != 0) return;
     const Moment now = Moment::clock::now();
     for (std::size_t i = callers_.size(); i-- > 0;) {
@@ -112,14 +119,17 @@
 
 void Door::accept_some() {
   for (;;) {
-    net::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
-    if (!fd) {
-      const bool short_of = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
-      if (!short_of || callers_.empty()) return;
-      make_room();
+    net::Accepted one = net::accept_from(listener_.get());
+    if (one.what == net::Accept::again) continue;
+    if (one.what == net::Accept::shortage) {
+      net::note_shortage("accept", one.error);
+      // Only who has his answer loses nothing by it; else the caller waits in the queue until there is one again.
+      if (!make_room(false)) return std::this_thread::sleep_for(kShortage);
       continue;
     }
-    if (callers_.size() >= kPlaces) make_room();
+    if (one.what != net::Accept::taken) return;
+    net::Fd fd = std::move(one.fd);
+    if (callers_.size() >= kPlaces) make_room(true);
     callers_.push_back({std::move(fd), Moment::clock::now(), {}, {}, 0, false});
     // What is asked is there already as a rule: a caller that waits here need not wait for its turn again.
     if (!serve(callers_.back())) callers_.pop_back();
@@ -128,9 +138,11 @@
 
 // Callers that hold a connection and say nothing must not keep others out: one that has its answer goes
 // first, then the one that has been unfinished for the longest.
-void Door::make_room() {
+bool Door::make_room(bool also_unanswered) {
   const auto told = std::find_if(callers_.begin(), callers_.end(), [](const Caller& c) { return c.answered; });
+  if (told == callers_.end() && (!also_unanswered || callers_.empty())) return false;
   callers_.erase(told == callers_.end() ? callers_.begin() : told);
+  return true;
 }
 
 bool Door::serve(Caller& c) {
@@ -139,8 +151,9 @@
     const ssize_t n = ::recv(c.fd.get(), bytes, sizeof bytes, MSG_DONTWAIT);
     if (n == 0) return false;
     if (n < 0) {
-      if (errno == EINTR) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK) return false;
+      const net::Failure failure = net::classify(errno);
+      if (failure == net::Failure::interrupted) continue;
+      if (failure == net::Failure::other) return false;
       break;
     }
     if (!c.answered) c.in.append(bytes, static_cast<std::size_t>(n));
@@ -167,7 +180,7 @@
   while (c.written < c.out.size()) {
     const ssize_t n = ::send(c.fd.get(), c.out.data() + c.written, c.out.size() - c.written,
                              MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (n < 0) return net::classify(errno) != net::Failure::other;  // written on once polled again
     c.written += static_cast<std::size_t>(n);
     // Closed over unread input, the connection would be reset and the answer lost with it.
     if (c.written == c.out.size()) ::shutdown(c.fd.get(), SHUT_WR);
--- a/src/ops/door.h
+++ b/src/ops/door.h
@@ -51,7 +51,7 @@
   void accept_some();
   bool serve(Caller& caller);  // false: it is over
   bool write(Caller& caller);
-  void make_room();
+  bool make_room(bool also_unanswered);  // false: nobody is there who could go
 
   Operated& node_;
   net::Fd listener_, wake_;
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -124,7 +124,7 @@
   REQUIRE(connect_to(peer.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))),
                      soon()) == Io::done);
   REQUIRE(wait_readable(listener.get(), soon()) == Io::done);
-  Fd accepted = accept_from(listener.get());
+  Fd accepted = accept_from(listener.get()).fd;
   REQUIRE(accepted);
   REQUIRE(write_all(peer.get(), request("view"), soon()) == Io::done);
   REQUIRE(wait_readable(accepted.get(), soon()) == Io::done);
@@ -150,7 +150,7 @@
   const Fd client = new_socket();
   REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(port_of(listener.get()))),
                      soon()) == Io::done);
-  const Fd accepted = accept_from(listener.get());
+  const Fd accepted = accept_from(listener.get()).fd;
   int at_once = 0;
   socklen_t size = sizeof at_once;
   REQUIRE(::getsockopt(accepted.get(), IPPROTO_TCP, TCP_NODELAY, &at_once, &size) == 0);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -368,7 +368,7 @@
           write_all(fd.get(), request(turn % 2 ? "pay" : "view", "x", 2000), soon(500)) == Io::done) {
         got = read_response(in, soon(3000), r);
         // After the one answer there is nothing.
-        if (got == Got::whole && !still_quiet(fd.get()) && holds_bytes(fd.get())) got = Got::cut, ++doubled_;
+        if (got == Got::whole && look_at(fd.get()) == Unread::bytes) got = Got::cut, ++doubled_;
       } else if (one.disturbed == disturbed && one.runs) {
         std::this_thread::sleep_for(milliseconds(20));  // it is starting
         continue;
