A stopping node's last answers are due 0.4 s before the kill, so that it may be held up twice

Change: core/stop_plan has the arithmetic, from the platform's terms. Connections stay in use for three quarters of that, as before.

--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -12,7 +12,7 @@
 
 Stop stop_before_kill(std::chrono::milliseconds longest) {
   const auto kill = std::min(longest, kLongestLimit) + kKilledAfterLimit;
-  const auto answering = kill - kLastAnswers;
+  const auto answering = kill - 2 * kLongestHoldUp - kLastAnswers;
   const auto keeping = answering * 3 / 4;
   return {std::min(kAccepting, keeping), keeping, answering};
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "core/balancer.h"
+#include "core/stop_plan.h"
 #include "core/lanes.h"
 #include "core/watch_pace.h"
 
@@ -376,3 +377,14 @@
   }
   CHECK(begun <= 30);  // 270 calls in a minute
 }
+
+TEST_CASE("a stop leaves a node that is held up twice the time to write its last answers before the kill", "[core]") {
+  const auto limit = std::chrono::milliseconds(GENERATE(0, 100, 250, 823, 1000, 2113, 3000, 9000));
+  const core::Stop stop = core::stop_before_kill(limit);
+  const std::chrono::milliseconds kill = std::min(limit, std::chrono::milliseconds(3000)) + std::chrono::milliseconds(700);
+  // Once before the order is noticed, and once right before the answers are written.
+  CHECK(stop.answering + 2 * std::chrono::milliseconds(150) < kill);
+  CHECK(stop.accepting <= stop.keeping);
+  CHECK(stop.keeping < stop.answering);
+  CHECK(stop.answering > std::min(limit, std::chrono::milliseconds(3000)));  // what it held before can use its time
+}
