The same mistake elsewhere: starts, signals, locks, hand-over files and threads that broke

Looked for after the cause: a failure that is read as a fact. A start gave up at its first failing socket, monitor or thread, and one without a thread to accept hung for ever (Node::start set accept_over_ before the thread was there); SIGHUP or SIGUSR1 before serve() ended a starting node; a failing look at the other process's lock read as its being there (Sibling::lock), a half-written hand-over file was moved into place (Peers::hand_it_over); an exception in one of the node's own threads silenced the node; waiting for a signal that failed read as an order to end.

--- a/src/core/stop_plan.h
+++ b/src/core/stop_plan.h
@@ -1,4 +1,5 @@
-// When a node that was told to end lets go of what. Pure arithmetic: the terms of the platform in, spans from the order on out.
+// When a node that was told to end lets go of what. Pure arithmetic: the terms of the platform in, spans from
+// the order on out.
 #pragma once
 
 #include <chrono>
@@ -11,10 +12,11 @@
   std::chrono::milliseconds answering{-1};  // what comes after the order is answered by then; -1: in its time
 };
 
-// SIGKILL comes so long after the longest time limit at the earliest, counted from SIGTERM; of that limit this much counts.
+// SIGKILL comes so long after the longest time limit at the earliest, counted from SIGTERM; of that limit
+// this much counts.
 inline constexpr std::chrono::milliseconds kKilledAfterLimit{700}, kLongestLimit{3000};
-// A process may stand still for so long at any point. That may fall on the order, which is then noticed so much later,
-// and again on the last answers.
+// A process may stand still for so long at any point. That may fall on the order, which is then noticed so
+// much later, and again on the last answers.
 inline constexpr std::chrono::milliseconds kLongestHoldUp{150};
 // In which a node that has a part of a processor alone writes the answers that are due together.
 inline constexpr std::chrono::milliseconds kLastAnswers{100};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -96,21 +96,33 @@
   net::Node& node_;
 };
 
-int serve(const Config& config, const std::string& path) {
-  // Few arenas: with one for each thread, memory would grow with the threads.
-  ::mallopt(M_ARENA_MAX, 2);
-  // Signals are waited for here; threads that start later have them blocked.
+// Signals are waited for in serve(); threads that start later have them blocked. Blocked before the configuration is read:
+// an order to read it anew, or to tell the counters, would otherwise end a node that is starting.
+sigset_t block_signals() {
   sigset_t signals;
   ::sigemptyset(&signals);
   for (int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) ::sigaddset(&signals, s);
   ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int next_signal(const sigset_t& signals) {
+  int got = 0;
+  while (::sigwait(&signals, &got) != 0) {  // a wait that fails is no order to end
+  }
+  return got;
+}
+
+int serve(const Config& config, const std::string& path, const sigset_t& signals) {
+  // Few arenas: with one for each thread, memory would grow with the threads.
+  ::mallopt(M_ARENA_MAX, 2);
   net::Node node(config);
   Desk desk(node);
   std::optional<ops::Door> door;  // gone before the node: until then it answers
   if (!config.mgmt.empty()) door.emplace(net::parse_address(config.mgmt), desk);
   node.start();
-  for (int got = 0; ::sigwait(&signals, &got) == 0 && (got == SIGUSR1 || got == SIGHUP);) {
+  for (int got = next_signal(signals); got == SIGUSR1 || got == SIGHUP; got = next_signal(signals)) {
     if (got == SIGHUP) node.reload(path);
     else log::info("{}", node.counters_text());
   }
@@ -197,9 +209,10 @@
   if (given.count("log-format")) log::set_format(word(given["log-format"].as<std::string>(), kFormats, "log format"));
   if (given.count("verbose")) log::set_least(log::Level::debug);
   if (command == "migrate") return migrate_file(given);
+  const sigset_t signals = command == "serve" ? block_signals() : sigset_t{};
   const Config config = load(given);
   for (const std::string& line : config.unused) log::warning("not followed: {}", line);
-  if (command == "serve") return serve(config, config_path(given));
+  if (command == "serve") return serve(config, config_path(given), signals);
   std::cout << "configuration can be used: " << config.name << " on " << config.listen << ", "
             << config.settings.workloads.size() << " workloads\n";
   return 0;
--- a/src/net/closing.h
+++ b/src/net/closing.h
@@ -15,7 +15,7 @@
   bad_request,  // what came on it can't be told apart any more
   answer_cut,   // an answer could not be written, or not to its end
 };
-inline constexpr std::array<std::string_view, 7> kClosingNames = {"by_client",   "idle",        "room",      "stopping",
-                                                                  "last_answer", "bad_request", "answer_cut"};
+inline constexpr std::array<std::string_view, 7> kClosingNames = {
+    "by_client", "idle", "room", "stopping", "last_answer", "bad_request", "answer_cut"};
 
 }  // namespace troutstage::net
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -81,6 +81,7 @@
   line("bodies_flowed", bodies_flowed.load());
   line("answers_flowed", answers_flowed.load());
   for (std::size_t i = 0; i < closed.size(); ++i) line(fmt::format("closed_{}", kClosingNames[i]), closed[i].load());
+  line("broke_inside_threads", broke_inside_threads.load());
   line("held_up", held_up.load());
   line("held_up_longest_ms", held_up_longest_ms.load());
   line("shortages", shortages());
--- a/src/net/failures.cpp
+++ b/src/net/failures.cpp
@@ -47,7 +47,8 @@
   Moment::rep due = next_line;
   if (now.time_since_epoch().count() < due) return;
   if (!next_line.compare_exchange_strong(due, (now + kBetweenLines).time_since_epoch().count())) return;
-  log::warning("short of something: {}: {} ({} times so far)", call, std::generic_category().message(error), count);
+  log::warning("short of something: {}: {} ({} times so far)", call, std::generic_category().message(error),
+               count);
 }
 
 std::uint64_t shortages() { return noted; }
--- a/src/net/failures.h
+++ b/src/net/failures.h
@@ -1,5 +1,6 @@
-// What a failed system call says, and what its caller may do about it. A call that fails says nothing of the other side
-// of a connection unless its error does: it is tried again, or its caller goes on as if it knew nothing.
+// What a failed system call says, and what its caller may do about it. A call that fails says nothing of the
+// other side of a connection unless its error does: it is tried again, or its caller goes on as if it knew
+// nothing.
 #pragma once
 
 #include <array>
@@ -36,8 +37,8 @@
 void note_shortage(std::string_view call, int error);
 std::uint64_t shortages();  // noted since the process began
 
-// Calls that make something that a node can't start without: repeated through a shortage for some seconds. `call` returns
-// whether it succeeded and leaves its error in errno otherwise; what it throws is passed on.
+// Calls that make something that a node can't start without: repeated through a shortage for some seconds.
+// `call` returns whether it succeeded and leaves its error in errno otherwise; what it throws is passed on.
 inline constexpr std::chrono::milliseconds kStartPatience{3000};
 template <class Call>
 bool persist(std::string_view name, Call call, std::chrono::milliseconds patience = kStartPatience) {
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -19,7 +19,7 @@
 // connecting; after a request it has come to stay for a while.
 constexpr std::chrono::milliseconds kStay[] = {std::chrono::milliseconds(2000), std::chrono::seconds(2),
                                                std::chrono::seconds(8), std::chrono::milliseconds(1000)};
-constexpr std::chrono::milliseconds kLook{100};  // how exactly that is kept
+constexpr std::chrono::milliseconds kLook{100};      // how exactly that is kept
 constexpr std::chrono::milliseconds kWatchAgain{2};  // between tries to have a socket monitored
 
 }  // namespace
@@ -34,13 +34,14 @@
   for (Moment next_look; !stopped_;) {
     std::array<epoll_event, 64> events{};
     const auto wait = any_unwatched_ ? kWatchAgain : kLook;
-    const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
-    if (n < 0 && classify(errno) == Failure::other) return log::error("idle clients are watched no more: error {}", errno);
+    const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()),
+                               static_cast<int>(wait.count()));
+    if (n < 0 && classify(errno) == Failure::other)
+      return log::error("idle clients are watched no more: error {}", errno);
     for (int i = 0; i < n; ++i) {
       const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
-      std::uint64_t woken = 0;
       if (id != 0) look(id);
-      else if (::read(wake_.get(), &woken, sizeof woken) < 0) log::debug("nobody woke the lobby");
+      else take_note(wake_);
     }
     if (any_unwatched_) watch_unwatched();
     if (const Moment now = Moment::clock::now(); now >= next_look) {
@@ -52,12 +53,7 @@
 
 void Lobby::stop() {
   stopped_ = true;
-  wake();
-}
-
-void Lobby::wake() {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
+  wake(wake_);
 }
 
 void Lobby::watch_unwatched() {
@@ -91,7 +87,7 @@
   // Never looked at, a request on it would be found at the connection's end only.
   unwatched_.insert(id);
   any_unwatched_ = true;
-  wake();
+  wake(wake_);
 }
 
 // With the lock held.
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -27,15 +27,16 @@
   };
   using Ready = std::function<bool(std::shared_ptr<Client>)>;  // false: nobody can work for it
   using Most = std::array<std::size_t, 4>;
-  // `ready` is called for each connection on which something has come, on the lobby's thread; one that it has nobody
-  // for is turned away here. So many may
-  // wait for each thing; beyond that the one that has waited for it the longest goes.
+  // `ready` is called for each connection on which something has come, on the lobby's thread; one that it has
+  // nobody for is turned away here. So many may wait for each thing; beyond that the one that has waited for
+  // it the longest goes.
   Lobby(Ready ready, const Most& most);
 
   void run();  // until stop()
   void stop();
   void enter(std::shared_ptr<Client> client, Wait wait);
-  // Closes the one that is the least loss; false: there is none. `but_new`: not one that has said nothing yet.
+  // Closes the one that is the least loss; false: there is none. `but_new`: not one that has said nothing
+  // yet.
   bool make_room(bool but_new = false);
   std::size_t waiting(Wait wait);
   void close_idle(bool all);  // else not those that are being told their last answer
@@ -47,13 +48,12 @@
     Moment since, limit;
   };
   using All = std::map<std::uint64_t, Waiting>;  // the oldest first
-  // Takes one out, and gives it to whom it goes: what has come on it is still looked at. Where that look fails, it
-  // stays, unless something is known to have come (`by_client`).
+  // Takes one out, and gives it to whom it goes: what has come on it is still looked at. Where that look
+  // fails, it stays, unless something is known to have come (`by_client`).
   void leave(All::iterator at, Closing why);
   void admit(std::shared_ptr<Client> client, Wait wait);
   void look(std::uint64_t id);
   void close_old();
-  void wake();
   void watch_unwatched();
 
   const Ready ready_;
@@ -63,7 +63,7 @@
                      // reverse
   All all_;
   std::uint64_t next_ = 1;
-  Most waiting_{};  // how many wait for each thing
+  Most waiting_{};                     // how many wait for each thing
   std::set<std::uint64_t> unwatched_;  // those that the monitor could not take yet
   std::atomic<bool> any_unwatched_{false}, stopped_{false};
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
 constexpr std::chrono::milliseconds kHeldUp{50};  // a wait that ends so much too late says that the process stood still
+constexpr std::chrono::milliseconds kBreakPause{10};  // before a thread that broke goes on
 constexpr std::chrono::milliseconds kAcceptAgain{1}, kAcceptShortage{10};  // before accepting again after a failure
 // A shortage that lasts for so many tries is not over in a moment: room is made, at last also by what has said nothing yet.
 constexpr int kShortagesBorne = 3, kShortagesBorneForNew = 12;
@@ -136,8 +137,21 @@
 void Node::start_thread(std::string_view what, const std::function<void()>& job) {
   const bool accepts = what == "accepting";
   if (accepts) accept_over_ = false;
+  // Without one of these threads the node would go on taking requests and answer none: what breaks in it is begun again.
+  const auto goes_on = [this, job, name = std::string(what)] {
+    for (bool over = false; !over;) {
+      try {
+        job();
+        over = true;
+      } catch (const std::exception& broke) {
+        ++counters_.broke_inside_threads;
+        log::error("thread for {}: {}", name, broke.what());
+        std::this_thread::sleep_for(kBreakPause);
+      }
+    }
+  };
   // No thread to be had for a moment is no reason not to start.
-  const auto run = [&] { return inner_.run(job) || (errno = ENOMEM, false); };
+  const auto run = [&] { return inner_.run(goes_on) || (errno = ENOMEM, false); };
   if (persist("pthread_create", run)) return;
   if (accepts) accept_over_ = true;
   throw std::runtime_error("can't start the thread for " + std::string(what));
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -256,9 +256,13 @@
   {
     std::ofstream out(part, std::ios::binary);
     out << engine_->snapshot() << std::flush;
-    if (!out) log::warning("members: can't write '{}', the successor joins anew", part);
+    out.close();
+    // Half a file in its place would be taken for the whole.
+    if (!out || std::rename(part.c_str(), start_.hand_over.c_str()) != 0) {
+      log::warning("members: can't write '{}', the successor joins anew", part);
+      ::unlink(part.c_str());
+    }
   }
-  std::rename(part.c_str(), start_.hand_over.c_str());
   socket_.reset();
 }
 
--- a/src/net/sibling.h
+++ b/src/net/sibling.h
@@ -22,11 +22,14 @@
   Ledger& ledger() { return *ledger_; }
 
  private:
-  bool lock(int place, bool only_look);
+  enum class Place { free, taken, unknown };
+  bool take(int place);         // false: another process has it; throws where that can't be told
+  Place look(int place) const;  // a look that fails says nothing of the other process
   Fd file_;
   void* page_ = nullptr;
   int place_ = 0;
   bool successor_ = false;
+  bool other_lives_ = false;  // as it was last known
   std::unique_ptr<Ledger> ledger_;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -92,25 +92,41 @@
 // What the system held back of an answer is lost where the connection is reset right after it.
 void send_at_once(const Fd& fd) {
   const int on = 1;
-  if (fd) ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const auto set = [&] { return ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on) == 0; };
+  if (fd) persist("setsockopt", set, kSocketPatience);
 }
 
 }  // namespace
 
 Fd new_socket() {
   Fd fd;
-  persist("socket", [&] { return static_cast<bool>(fd = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))); }, kSocketPatience);
+  persist(
+      "socket", [&] { return static_cast<bool>(fd = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))); },
+      kSocketPatience);
   send_at_once(fd);
   return fd;
 }
 
 Fd new_event() {
   Fd fd;
-  if (!persist("eventfd", [&] { return static_cast<bool>(fd = Fd(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))); }))
+  if (!persist("eventfd",
+               [&] { return static_cast<bool>(fd = Fd(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))); }))
     throw std::system_error(errno, std::generic_category(), "can't make an event descriptor");
   return fd;
 }
 
+void wake(const Fd& event) {
+  const std::uint64_t one = 1;
+  while (::write(event.get(), &one, sizeof one) < 0 && errno == EINTR) {
+  }
+}
+
+void take_note(const Fd& event) {
+  std::uint64_t times = 0;
+  while (::read(event.get(), &times, sizeof times) < 0 && errno == EINTR) {
+  }
+}
+
 Fd new_monitor() {
   Fd fd;
   if (!persist("epoll_create1", [&] { return static_cast<bool>(fd = Fd(::epoll_create1(EPOLL_CLOEXEC))); }))
@@ -140,9 +156,10 @@
   const auto try_once = [&address]() -> Fd {
     Fd fd = new_socket();
     const int on = 1;
-    const bool listens = fd && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
-                         ::bind(fd.get(), plain(address), sizeof address) == 0 && ::listen(fd.get(), 1024) == 0 &&
-                         ::fcntl(fd.get(), F_SETFL, O_NONBLOCK) == 0;  // another may take what was there to accept
+    const bool listens =
+        fd && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+        ::bind(fd.get(), plain(address), sizeof address) == 0 && ::listen(fd.get(), 1024) == 0 &&
+        ::fcntl(fd.get(), F_SETFL, O_NONBLOCK) == 0;  // another may take what was there to accept
     return listens ? std::move(fd) : Fd();
   };
   Fd fd;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -35,18 +35,23 @@
 sockaddr_in parse_address(std::string_view text);  // ADDRESS:PORT; throws Malformed
 std::string address_text(const sockaddr_in& address);
 
-// Throws std::system_error. A shortage, and an address that a process which has just ended still holds, are waited for.
+// Throws std::system_error. A shortage, and an address that a process which has just ended still holds, are
+// waited for.
 Fd listen_on(const sockaddr_in& address);
 // A listener that this process was started with. Throws Malformed where it is none, or listens elsewhere.
 Fd inherited_listener(int fd, const sockaddr_in& address);
-Fd new_socket();  // with no delay of small writes; empty where there is none to be had, also after some milliseconds
+Fd new_socket();  // with no delay of small writes; empty where there is none to be had, also after some
+                  // milliseconds
 Fd new_event();   // an event descriptor for waking a thread; throws std::system_error
+void wake(const Fd& event);  // until it is taken note of, it reads as ready
+void take_note(const Fd& event);
 Fd new_monitor();  // an epoll descriptor; throws std::system_error
 
 enum class Accept {
   taken,
   none,      // nothing is there to accept
-  again,     // the call was interrupted, or one connection broke before it could be accepted: there may be others
+  again,     // the call was interrupted, or one connection broke before it could be accepted: there may be
+             // others
   shortage,  // of descriptors or memory: the connections stay in the queue
   broken     // the listener can't be used
 };
--- a/src/net/vigil.cpp
+++ b/src/net/vigil.cpp
@@ -11,8 +11,7 @@
 
 namespace troutstage::net {
 
-Vigil::Vigil(core::Balancer& balancer)
-    : balancer_(balancer), poll_(new_monitor()), wake_(new_event()) {
+Vigil::Vigil(core::Balancer& balancer) : balancer_(balancer), poll_(new_monitor()), wake_(new_event()) {
   if (!persist("epoll_ctl", [this] { return monitor(poll_.get(), wake_.get(), EPOLLIN, 0); }))
     throw std::system_error(errno, std::generic_category(), "can't watch clients");
 }
@@ -21,7 +20,8 @@
   for (;;) {
     std::array<epoll_event, 32> events{};
     const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()), -1);
-    if (n < 0 && classify(errno) == Failure::other) return log::error("clients are watched no more: error {}", errno);
+    if (n < 0 && classify(errno) == Failure::other)
+      return log::error("clients are watched no more: error {}", errno);
     for (int i = 0; i < n; ++i) {
       const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
       if (id == 0) return;
@@ -36,10 +36,7 @@
   }
 }
 
-void Vigil::stop() {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
-}
+void Vigil::stop() { wake(wake_); }
 
 Vigil::Over::Over(Vigil& vigil, int fd, core::Ticket ticket) : vigil_(vigil), fd_(fd) {
   {
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -24,7 +24,10 @@
 }  // namespace
 
 void Watch::run() {
-  if (balancer_.await_watch()) follow();
+  // Begun again after a break, it does not wait for an order that it was given before.
+  if (!wanted_ && !balancer_.await_watch()) return;
+  wanted_ = true;
+  follow();
 }
 
 // A watch goes on only while the next call comes within 200 ms of the last answer: the connection is kept and
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -40,6 +40,7 @@
   sockaddr_in discovery_;
   std::shared_ptr<Shutter> shutter_ = std::make_shared<Shutter>();  // a new one for each place
   bool moved_ = false, stopped_ = false;
+  bool wanted_ = false;  // run()'s own
   std::int64_t version_;  // this and the next two: used by run() alone
   core::WatchPace pace_;
   core::WatchPace::Next next_ = pace_.first();
--- a/src/ops/door.cpp
+++ b/src/ops/door.cpp
@@ -89,8 +89,7 @@
 }
 
 Door::~Door() {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
+  net::wake(wake_);
   thread_.finish();
 }
 
@@ -120,7 +119,7 @@
 void Door::accept_some() {
   for (;;) {
     net::Accepted one = net::accept_from(listener_.get());
-    if (one.what == net::Accept::again) continue;
+    if (one.what == net::Accept::again) return std::this_thread::sleep_for(kShortage);  // polled again at once
     if (one.what == net::Accept::shortage) {
       net::note_shortage("accept", one.error);
       // Only who has his answer loses nothing by it; else the caller waits in the queue until there is one again.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,8 +3,8 @@
 #include <thread>
 
 #include "core/balancer.h"
-#include "core/stop_plan.h"
 #include "core/lanes.h"
+#include "core/stop_plan.h"
 #include "core/watch_pace.h"
 
 using namespace troutstage;
@@ -388,3 +388,19 @@
   CHECK(stop.keeping < stop.answering);
   CHECK(stop.answering > std::min(limit, std::chrono::milliseconds(3000)));  // what it held before can use its time
 }
+
+TEST_CASE("a limit is kept though another event comes right when an earlier one is due", "[core]") {
+  Facade facade(Semantics::irreversible);
+  const Ticket first = facade.take(300), second = facade.take(700);
+  REQUIRE(facade.balancer.pick(first).what == Next::hand_off);
+  REQUIRE(facade.balancer.pick(second).what == Next::hand_off);
+  facade.clock.time += 300 * kMs;
+  // The attempt of the first runs out at the same moment, and is heard of before the timers' thread runs.
+  facade.balancer.report(first, 0, Ending::timed_out);
+  facade.balancer.tick();
+  REQUIRE(facade.balancer.answered(first));
+  CHECK_FALSE(facade.balancer.answered(second));
+  facade.clock.time += 400 * kMs;
+  facade.balancer.tick();
+  CHECK(facade.balancer.answered(second));
+}
--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -1,6 +1,6 @@
-// A few processes of the program under traffic and trouble: they are restarted one after another, held up, and run with
-// a shim that makes system calls fail. What clients and backends saw is checked against the rules on answers; the
-// checks know the protocol only, nothing of the program.
+// A few processes of the program under traffic and trouble: they are restarted one after another, held up,
+// and run with a shim that makes system calls fail. What clients and backends saw is checked against the
+// rules on answers; the checks know the protocol only, nothing of the program.
 #pragma once
 
 #include <poll.h>
@@ -17,35 +17,39 @@
 using namespace stand_in;
 
 struct Plan {
-  std::string faults;             // for the shim; empty: it is not loaded
+  std::string faults;  // for the shim; empty: it is not loaded
   std::uint64_t seed = 1;
   milliseconds length{4000};
   std::size_t nodes = 2;
   int clients = 10;
-  int crowd = 0;                  // idle connections held at each node, opened again when they are closed
-  bool restarts = true;           // SIGTERM to one node after another
-  bool holds_up = false;          // SIGSTOP for up to 0.15 s, again and again
-  bool hold_at_stop = false;      // SIGSTOP for 0.15 s right before a stopping node has to have ended
-  double hangs = 0.2;             // of the backends' requests
-  double leaves = 0;              // of the clients: they close before their answer
-  double slow = 0;                // of the clients: they write a request in pieces, over up to 0.4 s
-  int time_limit_ms = 1000;       // the longest that the settings name
+  int crowd = 0;              // idle connections held at each node, opened again when they are closed
+  bool restarts = true;       // SIGTERM to one node after another
+  bool holds_up = false;      // SIGSTOP for up to 0.15 s, again and again
+  bool hold_at_stop = false;  // SIGSTOP for 0.15 s right before a stopping node has to have ended
+  bool signals = false;       // SIGHUP, SIGUSR1 and further SIGTERM in series, also around a stop
+  double hangs = 0.2;         // of the backends' requests
+  double leaves = 0;          // of the clients: they close before their answer
+  double slow = 0;            // of the clients: they write a request in pieces, over up to 0.4 s
+  int time_limit_ms = 1000;   // the longest that the settings name
 };
 
 // What the rules call a break, with its story.
 struct Breaks {
-  std::vector<std::string> lost;      // a request without its one final answer in time
-  std::vector<std::string> wrong;     // answered with another request's answer
-  std::vector<std::string> begun_late;  // an attempt that came to a backend over 0.1 s after its client had closed
-  std::vector<std::string> crashed;   // a process that ended by itself without being told, or with an error
+  std::vector<std::string> lost;   // a request without its one final answer in time
+  std::vector<std::string> wrong;  // answered with another request's answer
+  std::vector<std::string>
+      begun_late;  // an attempt that came to a backend over 0.1 s after its client had closed
+  std::vector<std::string> crashed;  // a process that ended by itself without being told, or with an error
   int answered = 0, refused = 0, failed = 0, resent = 0;
-  int ended = 0, killed = 0;          // stops that ended by themselves, and by SIGKILL
+  int ended = 0, killed = 0;  // stops that ended by themselves, and by SIGKILL
 };
 
 class Run {
  public:
   explicit Run(const Plan& plan) : plan_(plan), random_(plan.seed) {
-    for (int i = 0; i < 4; ++i) backends_.push_back(std::make_unique<Server>([this](const Server::Call& call) { return backend(call); }));
+    for (int i = 0; i < 4; ++i)
+      backends_.push_back(
+          std::make_unique<Server>([this](const Server::Call& call) { return backend(call); }));
     std::vector<std::string> at;
     for (const auto& backend : backends_) at.push_back(backend->address());
     listed_ = list(1, true, at);
@@ -61,10 +65,12 @@
   Breaks play() {
     for (auto& node : nodes_) start(*node);
     const Moment end = Moment::clock::now() + plan_.length;
-    for (int c = 0; c < plan_.clients; ++c) threads_.run([this, c] { client(static_cast<std::uint64_t>(c)); });
+    for (int c = 0; c < plan_.clients; ++c)
+      threads_.run([this, c] { client(static_cast<std::uint64_t>(c)); });
     for (auto& node : nodes_)
       if (plan_.crowd > 0) threads_.run([this, &node] { crowd(*node); });
     if (plan_.holds_up) threads_.run([this] { hold_up(); });
+    if (plan_.signals) threads_.run([this] { signal_in_series(); });
     for (std::size_t turn = 0; Moment::clock::now() < end; ++turn) {
       std::this_thread::sleep_for(milliseconds(300));
       if (plan_.restarts) restart(*nodes_[turn % nodes_.size()]);
@@ -82,7 +88,7 @@
     std::unique_ptr<Program> program;
     std::mutex lock;                     // over the process's life, against who stops and continues it
     std::atomic<bool> takes_new{false};  // as its front sees it
-    std::atomic<bool> runs{false};
+    std::atomic<bool> runs{false}, told{false};  // told: to end
     std::atomic<int> lives{0};
   };
 
@@ -98,15 +104,17 @@
     if (!node.file) node.file = std::make_unique<File>(config_of(node));
     std::vector<std::string> variables;
     if (!plan_.faults.empty()) {
-      variables = {std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM, "TROUTSTAGE_FAULTS=" + plan_.faults,
-                   "TROUTSTAGE_FAULTS_SEED=" + std::to_string(plan_.seed + static_cast<std::uint64_t>(node.lives)),
-                   "ASAN_OPTIONS=verify_asan_link_order=0"};
-      if (const char* log = std::getenv("TROUTSTAGE_FAULTS_LOG")) variables.push_back(std::string("TROUTSTAGE_FAULTS_LOG=") + log);
+      variables = {
+          std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM, "TROUTSTAGE_FAULTS=" + plan_.faults,
+          "TROUTSTAGE_FAULTS_SEED=" + std::to_string(plan_.seed + static_cast<std::uint64_t>(node.lives)),
+          "ASAN_OPTIONS=verify_asan_link_order=0"};
+      if (const char* log = std::getenv("TROUTSTAGE_FAULTS_LOG"))
+        variables.push_back(std::string("TROUTSTAGE_FAULTS_LOG=") + log);
     }
     {
       std::lock_guard held(node.lock);
       node.program = std::make_unique<Program>(*node.file, variables);
-      node.runs = true;
+      node.told = false;
       ++node.lives;
     }
     const Moment limit = soon(10000);
@@ -117,7 +125,7 @@
       if (connect_to(fd.get(), parse_address(node.address), soon(300)) == Io::done &&
           write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == Io::done &&
           read_response(in, soon(300), r) == Got::whole && r.status == 200) {
-        node.takes_new = true;
+        node.takes_new = node.runs = true;
         return;
       }
       std::this_thread::sleep_for(milliseconds(5));
@@ -143,6 +151,7 @@
     {
       std::lock_guard held(node.lock);
       node.program->signal(SIGTERM);
+      node.told = true;
     }
     std::this_thread::sleep_until(told + milliseconds(300));
     node.takes_new = false;
@@ -175,6 +184,20 @@
     }
   }
 
+  void signal_in_series() {
+    std::mt19937_64 random(plan_.seed + 78);
+    while (!over_) {
+      std::this_thread::sleep_for(milliseconds(random() % 100));
+      One& node = *nodes_[random() % nodes_.size()];
+      std::lock_guard held(node.lock);
+      if (!node.runs) continue;
+      for (std::uint64_t i = 0; i <= random() % 5; ++i) {
+        node.program->signal(random() % 4 == 0 ? SIGUSR1 : SIGHUP);
+        if (node.told) node.program->signal(SIGTERM);
+      }
+    }
+  }
+
   std::string backend(const Server::Call& call) {
     const auto head = parse_head(call.head);
     const std::string id(head->value("X-Txn"));
@@ -185,7 +208,9 @@
       drawn = random_();
       if (const auto at = closed_.find(id); at != closed_.end()) {
         const auto late = std::chrono::duration_cast<milliseconds>(Moment::clock::now() - at->second).count();
-        if (late > 100) breaks_.begun_late.push_back(id + " came " + std::to_string(late) + " ms after its client had closed");
+        if (late > 100)
+          breaks_.begun_late.push_back(id + " came " + std::to_string(late) +
+                                       " ms after its client had closed");
       }
     }
     if (static_cast<double>(drawn % 1000) < plan_.hangs * 1000) return no_news(call);
@@ -213,13 +238,16 @@
       std::this_thread::sleep_for(milliseconds(random() % 20));
     }
   }
-  // One request, on a kept connection or a new one. What crosses the end of a kept one is sent once more on a new one.
+  // One request, on a kept connection or a new one. What crosses the end of a kept one is sent once more on a
+  // new one.
   void ask(One& node, std::map<One*, Connection>& kept, std::mt19937_64& random, const std::string& id) {
     static constexpr const char* kWorkloads[] = {"view", "view", "order", "pay"};
     const std::string workload = kWorkloads[random() % 4];
-    const int remaining = plan_.time_limit_ms / 2 + static_cast<int>(random() % (static_cast<std::uint64_t>(plan_.time_limit_ms) / 2));
+    const int remaining = plan_.time_limit_ms / 2 +
+                          static_cast<int>(random() % (static_cast<std::uint64_t>(plan_.time_limit_ms) / 2));
     const bool reads = workload == "view";
-    const std::string bytes = std::string(reads ? "GET" : "POST") + " /" + workload + "/7 HTTP/1.1\r\nHost: h\r\nX-Txn: " + id +
+    const std::string bytes = std::string(reads ? "GET" : "POST") + " /" + workload +
+                              "/7 HTTP/1.1\r\nHost: h\r\nX-Txn: " + id +
                               "\r\nX-Org: a\r\nX-Remaining-Ms: " + std::to_string(remaining) + "\r\n" +
                               (reads ? "\r\n" : "Idempotency-Key: " + id + "\r\nContent-Length: 1\r\n\r\nx");
     for (int tries = 0; tries < 2; ++tries) {
@@ -244,8 +272,10 @@
       const Got got = read_response(*connection->in, sent + milliseconds(remaining + 500), r);
       if (got == Got::whole) return answered(node, kept, std::move(*connection), r, id);
       const auto after = std::chrono::duration_cast<milliseconds>(Moment::clock::now() - sent).count();
-      const std::string story = id + " " + workload + " " + std::to_string(remaining) + " ms, " + (is_new ? "new" : "kept") + " connection, " +
-                                (got == Got::late ? "no answer" : "ended unanswered") + " after " + std::to_string(after) + " ms";
+      const std::string story = id + " " + workload + " " + std::to_string(remaining) + " ms, " +
+                                (is_new ? "new" : "kept") + " connection, " +
+                                (got == Got::late ? "no answer" : "ended unanswered") + " after " +
+                                std::to_string(after) + " ms";
       std::lock_guard held(lock_);
       const bool was_read = seen_.count(id) > 0;
       if (got == Got::late || is_new || was_read) {
@@ -260,7 +290,8 @@
     if (chance(random) >= plan_.slow) return write_all(connection.fd.get(), bytes, soon(500)) == Io::done;
     for (std::size_t from = 0; from < bytes.size();) {
       const std::size_t size = 1 + random() % bytes.size();
-      if (write_all(connection.fd.get(), std::string_view(bytes).substr(from, size), soon(500)) != Io::done) return false;
+      if (write_all(connection.fd.get(), std::string_view(bytes).substr(from, size), soon(500)) != Io::done)
+        return false;
       from += size;
       if (from < bytes.size()) std::this_thread::sleep_for(milliseconds(random() % 130));
     }
@@ -272,7 +303,8 @@
     connection.fd.reset();
     closed_[id] = Moment::clock::now();
   }
-  void answered(One& node, std::map<One*, Connection>& kept, Connection connection, const Response& r, const std::string& id) {
+  void answered(One& node, std::map<One*, Connection>& kept, Connection connection, const Response& r,
+                const std::string& id) {
     {
       std::lock_guard held(lock_);
       if (r.status == 200 && r.body != id) breaks_.wrong.push_back(id + " was answered with " + r.body);
@@ -314,10 +346,12 @@
 };
 
 inline std::string told(const Breaks& b) {
-  std::string text = std::to_string(b.answered) + " answered, " + std::to_string(b.refused) + " refused, " + std::to_string(b.failed) + " failed, " +
-                     std::to_string(b.resent) + " sent again; stops: " + std::to_string(b.ended) + " ended, " + std::to_string(b.killed) +
-                     " killed; lost " + std::to_string(b.lost.size()) + ", wrong " + std::to_string(b.wrong.size()) + ", begun late " + std::to_string(b.begun_late.size()) + ", crashed " +
-                     std::to_string(b.crashed.size());
+  std::string text = std::to_string(b.answered) + " answered, " + std::to_string(b.refused) + " refused, " +
+                     std::to_string(b.failed) + " failed, " + std::to_string(b.resent) +
+                     " sent again; stops: " + std::to_string(b.ended) + " ended, " +
+                     std::to_string(b.killed) + " killed; lost " + std::to_string(b.lost.size()) +
+                     ", wrong " + std::to_string(b.wrong.size()) + ", begun late " +
+                     std::to_string(b.begun_late.size()) + ", crashed " + std::to_string(b.crashed.size());
   for (const auto* all : {&b.lost, &b.wrong, &b.begun_late, &b.crashed})
     for (std::size_t i = 0; i < std::min<std::size_t>(all->size(), 12); ++i) text += "\n  " + (*all)[i];
   return text;
--- a/tests/faults/shim.cpp
+++ b/tests/faults/shim.cpp
@@ -1,14 +1,15 @@
-// A library for LD_PRELOAD that makes chosen system calls of a program fail, or holds them up, by a plan and a seed.
+// A library for LD_PRELOAD that makes chosen system calls of a program fail, or holds them up, by a plan and
+// a seed.
 //
 // TROUTSTAGE_FAULTS holds rules separated by ';', each of them fields separated by ',':
-//   call=recv|peek|send|poll|ppoll|epoll_wait|epoll_ctl|accept4|socket|connect|ftruncate|pthread_create
+//   call=recv|peek|send|poll|ppoll|epoll_wait|epoll_ctl|accept4|socket|connect|ftruncate|pthread_create|cond_clockwait
 //   error=EINTR      the error that the call returns with; without it the call is made
 //   hold_ms=150      the calling thread stands still for so long first
 //   chance=0.05      of each such call, or
 //   nth=7            only of the seventh; times=3: and of the two after it
 //   while=PATH       only while that file exists
-// TROUTSTAGE_FAULTS_SEED seeds the chances; TROUTSTAGE_FAULTS_LOG names a file that gets a line for each fault.
-// "peek" is a recv() that leaves the bytes where they are, "recv" any other.
+// TROUTSTAGE_FAULTS_SEED seeds the chances; TROUTSTAGE_FAULTS_LOG names a file that gets a line for each
+// fault. "peek" is a recv() that leaves the bytes where they are, "recv" any other.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -33,13 +34,23 @@
 
 namespace {
 
-constexpr std::pair<std::string_view, int> kErrors[] = {
-    {"EINTR", EINTR},           {"ECONNABORTED", ECONNABORTED}, {"ENFILE", ENFILE},
-    {"EMFILE", EMFILE},         {"ENOBUFS", ENOBUFS},           {"ENOMEM", ENOMEM},
-    {"EPROTO", EPROTO},         {"ENETUNREACH", ENETUNREACH},   {"EADDRNOTAVAIL", EADDRNOTAVAIL},
-    {"EHOSTUNREACH", EHOSTUNREACH}, {"ETIMEDOUT", ETIMEDOUT},   {"ECONNRESET", ECONNRESET},
-    {"EAGAIN", EAGAIN},         {"ENOSPC", ENOSPC},             {"EIO", EIO},
-    {"EPERM", EPERM},           {"EADDRINUSE", EADDRINUSE}};
+constexpr std::pair<std::string_view, int> kErrors[] = {{"EINTR", EINTR},
+                                                        {"ECONNABORTED", ECONNABORTED},
+                                                        {"ENFILE", ENFILE},
+                                                        {"EMFILE", EMFILE},
+                                                        {"ENOBUFS", ENOBUFS},
+                                                        {"ENOMEM", ENOMEM},
+                                                        {"EPROTO", EPROTO},
+                                                        {"ENETUNREACH", ENETUNREACH},
+                                                        {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+                                                        {"EHOSTUNREACH", EHOSTUNREACH},
+                                                        {"ETIMEDOUT", ETIMEDOUT},
+                                                        {"ECONNRESET", ECONNRESET},
+                                                        {"EAGAIN", EAGAIN},
+                                                        {"ENOSPC", ENOSPC},
+                                                        {"EIO", EIO},
+                                                        {"EPERM", EPERM},
+                                                        {"EADDRINUSE", EADDRINUSE}};
 
 struct Rule {
   std::string call, while_path;
@@ -120,7 +131,8 @@
 void note(const Rule& rule, const void* site) {
   if (plan->log < 0) return;
   char line[128];
-  const int size = std::snprintf(line, sizeof line, "%s error=%d hold_ms=%d at=%p\n", rule.call.c_str(), rule.error, rule.hold_ms, site);
+  const int size = std::snprintf(line, sizeof line, "%s error=%d hold_ms=%d at=%p\n", rule.call.c_str(),
+                                 rule.error, rule.hold_ms, site);
   [[maybe_unused]] const auto written = ::write(plan->log, line, static_cast<std::size_t>(size));
 }
 
@@ -196,7 +208,19 @@
   NEXT(ftruncate);
   return fails("ftruncate", HERE) ? -1 : real(fd, size);
 }
-int pthread_create(pthread_t* thread, const pthread_attr_t* attributes, void* (*run)(void*), void* with) noexcept {
+// Held up between its being woken and its having the lock again, as a thread that waits for a processor is.
+int pthread_cond_clockwait(pthread_cond_t* condition, pthread_mutex_t* mutex, clockid_t clock,
+                           const timespec* until) {
+  NEXT(pthread_cond_clockwait);
+  const int result = real(condition, mutex, clock, until);
+  if (result != ETIMEDOUT || plan == nullptr) return result;
+  ::pthread_mutex_unlock(mutex);
+  fails("cond_clockwait", HERE);
+  ::pthread_mutex_lock(mutex);
+  return result;
+}
+int pthread_create(pthread_t* thread, const pthread_attr_t* attributes, void* (*run)(void*),
+                   void* with) noexcept {
   NEXT(pthread_create);
   return fails("pthread_create", HERE) ? errno : real(thread, attributes, run, with);
 }
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -5,33 +5,38 @@
 
 namespace {
 
-constexpr int kTimeLimit = 1000;                    // milliseconds: the longest that the settings name
-constexpr milliseconds kKill{kTimeLimit + 700};     // the earliest SIGKILL after SIGTERM
-constexpr milliseconds kHoldUp{150};                // for so long a process may stand still
+constexpr int kTimeLimit = 1000;                 // milliseconds: the longest that the settings name
+constexpr milliseconds kKill{kTimeLimit + 700};  // the earliest SIGKILL after SIGTERM
+constexpr milliseconds kHoldUp{150};             // for so long a process may stand still
 
 // One process with the shim, before one backend. Its faults happen while the switch is on.
 class FaultyNode {
  public:
-  explicit FaultyNode(const std::string& faults, Server::Handler handler = always(ok("done")), bool on_at_start = false)
+  explicit FaultyNode(const std::string& faults, Server::Handler handler = always(ok("done")),
+                      bool on_at_start = false)
       : backend_(std::move(handler)), discovery_(no_news), switch_("") {
     if (!on_at_start) turn_off();
     {
       const Fd fd = listen_on(parse_address("127.3.0.1:0"));
       address_ = "127.3.0.1:" + std::to_string(port_of(fd.get()));
     }
-    auto json = nlohmann::json::parse(config_text(list(1, true, {backend_.address()}), discovery_.address(), 256, address_));
+    auto json = nlohmann::json::parse(
+        config_text(list(1, true, {backend_.address()}), discovery_.address(), 256, address_));
     for (auto& workload : json["settings"]["workloads"]) workload["time-limit"] = kTimeLimit * 1000;
     file_.write(json.dump());
     std::string rules;
     std::istringstream given(faults);
     for (std::string rule; std::getline(given, rule, ';');) rules += rule + ",while=" + switch_.path() + ";";
-    program_ = std::make_unique<Program>(file_, std::vector<std::string>{std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM, "TROUTSTAGE_FAULTS=" + rules,
-                                                                        "ASAN_OPTIONS=verify_asan_link_order=0"});
+    program_ = std::make_unique<Program>(
+        file_,
+        std::vector<std::string>{std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM,
+                                 "TROUTSTAGE_FAULTS=" + rules, "ASAN_OPTIONS=verify_asan_link_order=0"});
   }
   void turn_on() { switch_.write(""); }
   void turn_off() { std::filesystem::remove(switch_.path()); }
   bool comes_up() const {
-    for (const Moment limit = soon(10000); Moment::clock::now() < limit; std::this_thread::sleep_for(milliseconds(5))) {
+    for (const Moment limit = soon(10000); Moment::clock::now() < limit;
+         std::this_thread::sleep_for(milliseconds(5))) {
       const Fd fd = new_socket();
       Reader in(fd.get());
       Response r;
@@ -61,7 +66,8 @@
     Reader in(fd.get());
     Response r;
     if (connect_to(fd.get(), parse_address(node.address()), soon()) != Io::done ||
-        write_all(fd.get(), request("view", "x", kTimeLimit), soon()) != Io::done || read_response(in, soon(kTimeLimit + 500), r) != Got::whole)
+        write_all(fd.get(), request("view", "x", kTimeLimit), soon()) != Io::done ||
+        read_response(in, soon(kTimeLimit + 500), r) != Got::whole)
       ++unanswered;
   }
   return unanswered;
@@ -72,7 +78,8 @@
   if (connect_to(fd.get(), parse_address(node.address()), soon()) != Io::done) return requests;
   for (int i = 0; i < requests; ++i) {
     Response r;
-    if (write_all(fd.get(), request("view", "x", kTimeLimit), soon()) != Io::done || read_response(in, soon(kTimeLimit + 500), r) != Got::whole || !r.keep_alive)
+    if (write_all(fd.get(), request("view", "x", kTimeLimit), soon()) != Io::done ||
+        read_response(in, soon(kTimeLimit + 500), r) != Got::whole || !r.keep_alive)
       return requests - i;
   }
   return 0;
@@ -80,15 +87,20 @@
 
 }  // namespace
 
-TEST_CASE("a call that fails for a moment costs no request its answer and no client its connection", "[faults]") {
-  const std::string faults = GENERATE(
-      as<std::string>(), "call=peek,error=EINTR,chance=0.5", "call=recv,error=EINTR,chance=0.3", "call=recv,error=ENOMEM,chance=0.1",
-      "call=send,error=EINTR,chance=0.3", "call=send,error=ENOBUFS,chance=0.1", "call=send,error=ENOMEM,chance=0.1",
-      "call=poll,error=EINTR,chance=0.3;call=ppoll,error=EINTR,chance=0.3", "call=poll,error=ENOMEM,chance=0.1;call=ppoll,error=ENOMEM,chance=0.1",
-      "call=epoll_wait,error=EINTR,chance=0.3", "call=epoll_ctl,error=ENOMEM,chance=0.2", "call=epoll_ctl,error=ENOSPC,chance=0.2",
-      "call=accept4,error=EINTR,chance=0.3", "call=accept4,error=ECONNABORTED,chance=0.3", "call=accept4,error=ENFILE,chance=0.3",
-      "call=accept4,error=ENETUNREACH,chance=0.3", "call=socket,error=ENFILE,chance=0.3", "call=connect,error=EINTR,chance=0.3",
-      "call=connect,error=EADDRNOTAVAIL,chance=0.3", "call=connect,error=ENETUNREACH,chance=0.3", "call=pthread_create,error=EAGAIN,chance=0.5");
+TEST_CASE("a call that fails for a moment costs no request its answer and no client its connection",
+          "[faults]") {
+  const std::string faults =
+      GENERATE(as<std::string>(), "call=peek,error=EINTR,chance=0.5", "call=recv,error=EINTR,chance=0.3",
+               "call=recv,error=ENOMEM,chance=0.1", "call=send,error=EINTR,chance=0.3",
+               "call=send,error=ENOBUFS,chance=0.1", "call=send,error=ENOMEM,chance=0.1",
+               "call=poll,error=EINTR,chance=0.3;call=ppoll,error=EINTR,chance=0.3",
+               "call=poll,error=ENOMEM,chance=0.1;call=ppoll,error=ENOMEM,chance=0.1",
+               "call=epoll_wait,error=EINTR,chance=0.3", "call=epoll_ctl,error=ENOMEM,chance=0.2",
+               "call=epoll_ctl,error=ENOSPC,chance=0.2", "call=accept4,error=EINTR,chance=0.3",
+               "call=accept4,error=ECONNABORTED,chance=0.3", "call=accept4,error=ENFILE,chance=0.3",
+               "call=accept4,error=ENETUNREACH,chance=0.3", "call=socket,error=ENFILE,chance=0.3",
+               "call=connect,error=EINTR,chance=0.3", "call=connect,error=EADDRNOTAVAIL,chance=0.3",
+               "call=connect,error=ENETUNREACH,chance=0.3", "call=pthread_create,error=EAGAIN,chance=0.5");
   INFO(faults);
   FaultyNode node(faults);
   REQUIRE(node.comes_up());
@@ -131,7 +143,8 @@
 }
 
 TEST_CASE("what the system has accepted for a stopping node is answered though accept fails", "[faults]") {
-  const std::string error = GENERATE(as<std::string>(), "EINTR", "ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO", "ENETUNREACH");
+  const std::string error = GENERATE(as<std::string>(), "EINTR", "ECONNABORTED", "ENFILE", "EMFILE",
+                                     "ENOBUFS", "ENOMEM", "EPROTO", "ENETUNREACH");
   INFO(error);
   FaultyNode node("call=accept4,chance=1,error=" + error);
   REQUIRE(node.comes_up());
@@ -156,8 +169,53 @@
   CHECK(node.program().exit_code() == 0);
 }
 
-// By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and TROUTSTAGE_SOAK_FAULTS
-// the shim's rules.
+TEST_CASE("a start bears calls that fail for a moment", "[faults]") {
+  const std::string faults = GENERATE(
+      as<std::string>(), "call=socket,nth=1,times=3,error=ENFILE", "call=socket,nth=1,times=3,error=ENOBUFS",
+      "call=pthread_create,nth=1,times=3,error=EAGAIN", "call=pthread_create,nth=4,times=3,error=EAGAIN",
+      "call=epoll_ctl,nth=1,times=3,error=ENOMEM", "call=epoll_ctl,nth=2,times=1,error=ENOSPC");
+  INFO(faults);
+  FaultyNode node(faults, always(ok("done")), true);
+  CHECK(node.comes_up());
+  node.program().signal(SIGTERM);
+  CHECK(node.program().exit_code() == 0);
+}
+
+TEST_CASE("a start that can't have its threads at all ends and says so", "[faults]") {
+  // It waited for ever for a thread that accepts, which had never been started.
+  const std::string nth = GENERATE(as<std::string>(), "1", "3", "6");
+  INFO(nth);
+  FaultyNode node("call=pthread_create,error=EAGAIN,times=1000000,nth=" + nth, always(ok("done")), true);
+  CHECK(node.program().exit_code() == 2);
+}
+
+TEST_CASE("what a stopping node holds is answered though its backends hang", "[faults]") {
+  // The thread for timers gets the processor 10 ms late: the end of an attempt whose limit is due is heard of
+  // before that. After it nothing happens any more but the end of the time that the stop has.
+  FaultyNode node("call=cond_clockwait,hold_ms=10,chance=1", no_news);
+  REQUIRE(node.comes_up());
+  node.turn_on();
+  constexpr std::size_t kHeld = 8;
+  std::vector<std::unique_ptr<Visitor>> visitors;
+  for (std::size_t i = 0; i <= kHeld; ++i) visitors.push_back(std::make_unique<Visitor>(node.address()));
+  for (std::size_t i = 0; i <= kHeld; ++i)
+    visitors[i]->send(request("pay", "x", i < kHeld ? 5 * kTimeLimit : kTimeLimit / 2));
+  while (node.backend().calls() <= static_cast<int>(kHeld)) std::this_thread::yield();
+  const Moment told = Moment::clock::now();
+  node.program().signal(SIGTERM);
+  std::this_thread::sleep_until(told + kKill);
+  node.program().signal(SIGKILL);
+  node.program().exit_code();
+  int unanswered = 0;
+  for (auto& visitor : visitors) {
+    Response r;
+    if (visitor->receive(r) != Got::whole) ++unanswered;
+  }
+  CHECK(unanswered == 0);
+}
+
+// By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
+// TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
   Plan plan;
   const char* told_fields = std::getenv("TROUTSTAGE_SOAK");
@@ -173,6 +231,7 @@
     else if (key == "crowd") plan.crowd = static_cast<int>(value);
     else if (key == "restarts") plan.restarts = value > 0;
     else if (key == "holds_up") plan.holds_up = value > 0;
+    else if (key == "signals") plan.signals = value > 0;
     else if (key == "hold_at_stop") plan.hold_at_stop = value > 0;
     else if (key == "hangs") plan.hangs = value;
     else if (key == "leaves") plan.leaves = value;
