Root cause: a timer set as another came due was forgotten with it, and what was held stayed unanswered

The event log of the facade (traced in a scratch copy) shows why: module sets timer 601 while 595 is due, the timers' thread then clears both (Balancer::tick and run_ticks set due_ to none; carry_out kept the smaller of two), and Decider::arm goes on believing that 601 is set. From there on nothing is answered at its limit until some other event comes by. In traffic that takes milliseconds; a node that stops, or has little traffic, has no other event: dozens are held to the kill. A process that is held up makes it likely, since what was due comes at once then. Ruled out: seen at no server (no attempt), closing of connections (connection_closed events), threads (the client's thread waits in pick). Change: the newest timer stands for all, as the module means it; one action that breaks takes no other with it.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -1,6 +1,7 @@
 #include "core/balancer.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace troutstage::core {
@@ -156,15 +157,28 @@
 }
 
 void Balancer::tell(std::unique_lock<std::mutex>&, const Event& event) {
-  for (const Action& action : decider_.decide(clock_.now(), event)) carry_out(action);
+  carry_out_all(decider_.decide(clock_.now(), event));
   take_back();
 }
 
+// One that breaks must not take the others with it: among them may be an answer, or the only timer.
+void Balancer::carry_out_all(const std::vector<Action>& actions) {
+  std::exception_ptr broke;
+  for (const Action& action : actions) {
+    try {
+      carry_out(action);
+    } catch (...) {
+      broke = std::current_exception();
+    }
+  }
+  if (broke) std::rethrow_exception(broke);
+}
+
 void Balancer::take_back() {
   while (!unsent_.empty()) {
     const HandOffEnded ended = unsent_.front();
     unsent_.pop_front();
-    for (const Action& action : decider_.decide(clock_.now(), ended)) carry_out(action);
+    carry_out_all(decider_.decide(clock_.now(), ended));
   }
 }
 
@@ -191,7 +205,8 @@
       return add_step(v, {answer, 0, kNone, 0, a.at});
     }
     case Do::set_timer:
-      due_ = std::min(due_, a.at);
+      // The newest stands for all: kept beside an earlier one, it was forgotten together with that.
+      due_ = a.at;
       due_changed_.notify_one();
       return;
     case Do::watch:
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -86,6 +86,7 @@
  private:
   void tell(std::unique_lock<std::mutex>& held, const Event& event);
   void take_back();
+  void carry_out_all(const std::vector<Action>& actions);
   void carry_out(const Action& action);
   void seal(Invocation& v);
   void add_step(Invocation& v, const Step& step);
@@ -98,7 +99,7 @@
   std::vector<Ticket> held_;  // by index
   std::vector<Index> free_, released_;
   std::deque<HandOffEnded> unsent_;  // taken back before anybody had picked them up
-  Tenths due_ = INT64_MAX;
+  Tenths due_ = INT64_MAX;  // the one timer that the decisions have set; its owner believes in it until it is told
   bool watch_wanted_ = false, stopped_ = false;
   Census census_;
 };
--- a/src/decide.h
+++ b/src/decide.h
@@ -147,7 +147,7 @@
   reject,     // invocation, at: how long the client should wait, or 0
   give_up,    // invocation
   recall,     // invocation, number
-  set_timer,  // at
+  set_timer,  // at: TimerDue is to be given then, once. The newest takes the place of the one before
   watch,      // the list, from here on
   probe,      // backend
   forget,     // invocation: the index may be used again
