--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -130,13 +130,17 @@
   start_thread("idle clients", [this] { lobby_.run(); });
   start_thread("housekeeping", [this] { housekeep(); });
   if (peers_) start_thread("membership", [this] { peers_->run(); });
-  start_thread("accepting", [this] { accept_all(); });
+  accept_over_ = false;
+  try {
+    start_thread("accepting", [this] { accept_all(); });
+  } catch (...) {  // nobody waits for a thread that is not there
+    accept_over_ = true;
+    throw;
+  }
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
 
 void Node::start_thread(std::string_view what, const std::function<void()>& job) {
-  const bool accepts = what == "accepting";
-  if (accepts) accept_over_ = false;
   // Without one of these threads the node would go on taking requests and answer none: what breaks in it is begun again.
   const auto goes_on = [this, job, name = std::string(what)] {
     for (bool over = false; !over;) {
@@ -152,9 +156,7 @@
   };
   // No thread to be had for a moment is no reason not to start.
   const auto run = [&] { return inner_.run(goes_on) || (errno = ENOMEM, false); };
-  if (persist("pthread_create", run)) return;
-  if (accepts) accept_over_ = true;
-  throw std::runtime_error("can't start the thread for " + std::string(what));
+  if (!persist("pthread_create", run)) throw std::runtime_error("can't start the thread for " + std::string(what));
 }
 
 int Node::port() const { return port_of(listener_.get()); }
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -1,4 +1,6 @@
 // Real processes under injected faults, as docs/incidents/ tells of them.
+#include <algorithm>
+
 #include "fault_fleet.h"
 
 using namespace fault_fleet;
@@ -58,6 +60,17 @@
   std::unique_ptr<Program> program_;
 };
 
+// Killed as early as the terms allow; how many of these got no answer before.
+int unanswered_at_kill(FaultyNode& node, Moment told, const std::vector<std::unique_ptr<Visitor>>& visitors) {
+  std::this_thread::sleep_until(told + kKill);
+  node.program().signal(SIGKILL);
+  node.program().exit_code();
+  return static_cast<int>(std::count_if(visitors.begin(), visitors.end(), [](const auto& visitor) {
+    Response r;
+    return visitor->receive(r) != Got::whole;
+  }));
+}
+
 // How many of so many requests got no answer: each on a new connection, or all on one.
 int unanswered_on_new(const FaultyNode& node, int requests) {
   int unanswered = 0;
@@ -131,15 +144,7 @@
   for (auto& visitor : visitors) visitor->send(request("pay", "x", kTimeLimit));
   std::this_thread::sleep_until(told + kKill - kHoldUp);
   node.program().signal(SIGSTOP);
-  std::this_thread::sleep_until(told + kKill);
-  node.program().signal(SIGKILL);
-  node.program().exit_code();
-  int unanswered = 0;
-  for (auto& visitor : visitors) {
-    Response r;
-    if (visitor->receive(r) != Got::whole) ++unanswered;
-  }
-  CHECK(unanswered == 0);
+  CHECK(unanswered_at_kill(node, told, visitors) == 0);
 }
 
 TEST_CASE("what the system has accepted for a stopping node is answered though accept fails", "[faults]") {
@@ -203,15 +208,7 @@
   while (node.backend().calls() <= static_cast<int>(kHeld)) std::this_thread::yield();
   const Moment told = Moment::clock::now();
   node.program().signal(SIGTERM);
-  std::this_thread::sleep_until(told + kKill);
-  node.program().signal(SIGKILL);
-  node.program().exit_code();
-  int unanswered = 0;
-  for (auto& visitor : visitors) {
-    Response r;
-    if (visitor->receive(r) != Got::whole) ++unanswered;
-  }
-  CHECK(unanswered == 0);
+  CHECK(unanswered_at_kill(node, told, visitors) == 0);
 }
 
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
