--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -98,6 +98,17 @@
   return 0;
 }
 
+void check_answers_under(const std::string& faults) {
+  FaultyNode node(faults);
+  REQUIRE(node.comes_up());
+  node.turn_on();
+  CHECK(unanswered_on_new(node, 60) == 0);
+  CHECK(unanswered_on_one(node, 60) == 0);
+  node.turn_off();
+  node.program().signal(SIGTERM);
+  CHECK(node.program().exit_code() == 0);
+}
+
 }  // namespace
 
 TEST_CASE("a call that fails for a moment costs no request its answer and no client its connection",
@@ -115,25 +126,11 @@
                "call=connect,error=EINTR,chance=0.3", "call=connect,error=EADDRNOTAVAIL,chance=0.3",
                "call=connect,error=ENETUNREACH,chance=0.3");
   INFO(faults);
-  FaultyNode node(faults);
-  REQUIRE(node.comes_up());
-  node.turn_on();
-  CHECK(unanswered_on_new(node, 60) == 0);
-  CHECK(unanswered_on_one(node, 60) == 0);
-  node.turn_off();
-  node.program().signal(SIGTERM);
-  CHECK(node.program().exit_code() == 0);
+  check_answers_under(faults);
 }
 
 TEST_CASE("a client for whom no thread is to be had for a moment keeps its connection", "[faults]") {
-  FaultyNode node("call=pthread_create,error=EAGAIN,chance=0.5");
-  REQUIRE(node.comes_up());
-  node.turn_on();
-  CHECK(unanswered_on_new(node, 60) == 0);
-  CHECK(unanswered_on_one(node, 60) == 0);
-  node.turn_off();
-  node.program().signal(SIGTERM);
-  CHECK(node.program().exit_code() == 0);
+  check_answers_under("call=pthread_create,error=EAGAIN,chance=0.5");
 }
 
 TEST_CASE("a node that is held up right before its end has answered all that it took", "[faults]") {
