Logging: every pause of the process, how late a request was read, where a long answer began and ended

A thread of its own beats every 20 ms now; src/core/pauses.h keeps when the process stood still and says how early something may have come that is found afterwards. Events read_late and answer_flows, read_late_ms of answered, counter read_late.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -46,6 +46,7 @@
   Flow flow;           // where its body is not whole
   bool flows = false;  // the same
   std::optional<Transactions::Open> open;
+  std::chrono::milliseconds read_late{0};  // so long after its last byte may it have been read
   core::Ticket ticket;
   int client_socket = -1;  // open until the answer is final; -1: its end can't be told from one made here
   // By number. The client's thread changes it, and while that is busy whoever has the balancer's lock.
@@ -102,6 +103,9 @@
       return refuse(ended_here(reading, bad));
     }
     work->flows = !r.rest.whole();
+    const Moment read_at = Moment::clock::now();
+    work->read_late = std::chrono::duration_cast<std::chrono::milliseconds>(read_at - node_.pauses_.earliest_arrival(read_at));
+    if (work->read_late.count() > 0) note_late_reading(*work);
     // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
     // request that crossed it was then lost.
     may_tell_leaving_ = !reading.was_ended();
@@ -250,7 +254,19 @@
   if (!log::wanted(log::Level::debug)) return;
   log::event("answered", {{"transaction", std::string_view(work.request.transaction)}, {"connection", id_}, {"how", how},
                           {"hand_offs", std::uint64_t{work.exchanges.size()}}, {"held_ms", std::int64_t{(node_.clock_.now() - arrived) / 10}},
-                          {"told_ms", work.request.remaining_ms}},
+                          {"told_ms", work.request.remaining_ms},
+                          {"read_late_ms", std::int64_t{work.read_late.count()}}},
+             log::Level::debug);
+}
+
+void Client::note_late_reading(const Work& work) {
+  ++node_.counters_.read_late;
+  log::event("read_late", {{"transaction", std::string_view(work.request.transaction)}, {"ms", std::int64_t{work.read_late.count()}}});
+}
+
+// The two ends of an answer that goes on as it comes.
+void Client::trace_flow(const Work& work, std::string_view stage, std::string_view how, std::size_t bytes) {
+  log::event("answer_flows", {{"transaction", std::string_view(work.request.transaction)}, {"stage", stage}, {"how", how}, {"bytes", std::uint64_t{bytes}}},
              log::Level::debug);
 }
 
@@ -290,12 +306,18 @@
   const auto framed = [&](std::string_view piece) {
     return in_chunks ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : std::string(piece);
   };
-  bool whole = write(std::move(head), framed(r.body));
-  for (std::string piece; whole && !exchange.rest().whole(); piece.clear()) {
-    whole = exchange.next(Moment::clock::now() + kNextPiece, piece) == Got::whole &&
-            (piece.empty() || write("", framed(piece)));
+  trace_flow(work, "begins", kFramingNames[static_cast<std::size_t>(exchange.rest().framing())], r.body.size());
+  std::size_t passed = r.body.size();
+  Got got = Got::whole;
+  bool taken = write(std::move(head), framed(r.body));  // by the client
+  for (std::string piece; taken && got == Got::whole && !exchange.rest().whole(); piece.clear()) {
+    got = exchange.next(Moment::clock::now() + kNextPiece, piece);
+    taken = got != Got::whole || piece.empty() || write("", framed(piece));
+    passed += piece.size();
   }
-  if (whole && in_chunks) whole = write("", "0\r\n\r\n");
+  bool whole = taken && got == Got::whole;
+  if (whole && in_chunks) whole = taken = write("", "0\r\n\r\n");
+  trace_flow(work, "ends", !taken ? "client_gone" : kGotNames[static_cast<std::size_t>(got)], passed);
   exchange.finish();
   ++(whole ? work.offer.answers->succeeded : work.offer.answers->given_up);
   if (whole) return keep;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -84,6 +84,7 @@
   line("broke_inside_threads", broke_inside_threads.load());
   line("held_up", held_up.load());
   line("held_up_longest_ms", held_up_longest_ms.load());
+  line("read_late", read_late.load());
   line("shortages", shortages());
   line("watches", watches.load());
   line("watches_failed", watches_failed.load());
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -45,6 +45,8 @@
   too_large,
   stalled  // it had begun, and did not go on
 };         // nothing: it closed before the first byte
+inline constexpr std::array<std::string_view, 7> kGotNames = {"whole",     "nothing",   "cut",    "late",
+                                                              "malformed", "too_large", "stalled"};
 
 // Reads messages from one connection. The bytes of the next one stay in the buffer.
 class Reader {
@@ -71,6 +73,7 @@
 };
 
 enum class Framing { none, length, chunked, to_end };
+inline constexpr std::array<std::string_view, 4> kFramingNames = {"none", "length", "chunked", "to_end"};
 
 // A message's body, taken in pieces as they come, however it is framed.
 class Body {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -16,7 +16,7 @@
 constexpr Tenths kDay = 24 * 3600 * Tenths{10000};
 constexpr std::chrono::milliseconds kLook{50};    // how often the listener looks whether it is still wanted
 constexpr std::chrono::milliseconds kSlow{500};   // a request is slow to come after this
-constexpr std::chrono::milliseconds kHeldUp{50};  // a wait that ends so much too late says that the process stood still
+constexpr std::chrono::milliseconds kHeldUp{50};  // pauses of the process that are counted and logged
 constexpr std::chrono::milliseconds kBreakPause{10};  // before a thread that broke goes on
 constexpr std::chrono::milliseconds kAcceptAgain{1}, kAcceptShortage{10};  // before accepting again after a failure
 // A shortage that lasts for so many tries is not over in a moment: room is made, at last also by what has said nothing yet.
@@ -102,7 +102,7 @@
       pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
       listener_(listener_of(config_)), reserve_(reserve(config_)),
       lobby_([this](const std::shared_ptr<Client>& client) { return work_for(client); }, most_waiting(config_)),
-      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(7) {
+      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(8) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
@@ -124,6 +124,7 @@
 void Node::start() {
   // On sockets every list comes by a watch; where the decisions needn't ask for it, the node does.
   if (!config_.settings.must_ask) balancer_.watch_now();
+  start_thread("pauses", [this] { watch_pauses(); });
   start_thread("timers", [this] { balancer_.run_ticks(); });
   start_thread("discovery", [this] { watch_->run(); });
   start_thread("clients' ends", [this] { vigil_.run(); });
@@ -197,8 +198,6 @@
   const Moment until = Moment::clock::now() + kLook;
   const Io io = wait_readable(listener_.get(), until);
   if (io == Io::done) return true;
-  const Moment now = Moment::clock::now();
-  if (now - until >= kHeldUp) counters_.was_held_up(std::chrono::duration_cast<std::chrono::milliseconds>(now - until));
   // A monitor that can't be asked must not be asked without end.
   if (io == Io::broken) std::this_thread::sleep_for(kAcceptShortage);
   return false;
@@ -305,6 +304,17 @@
   }
 }
 
+// Sees each time that the process stands still, whatever its other threads do then.
+void Node::watch_pauses() {
+  for (;;) {
+    std::this_thread::sleep_for(core::Pauses::kBeat);
+    const auto pause = pauses_.beat(Moment::clock::now());
+    if (pause >= kHeldUp) counters_.was_held_up(pause);
+    std::lock_guard held(lock_);
+    if (stopped_) return;
+  }
+}
+
 void Node::opened(bool has_place) {
   std::lock_guard held(lock_);
   ++open_;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -8,6 +8,7 @@
 
 #include "config/config.h"
 #include "core/balancer.h"
+#include "core/pauses.h"
 #include "core/stage.h"
 #include "core/stop_plan.h"
 #include "net/counters.h"
@@ -100,6 +101,7 @@
   bool end_slow_ones(std::chrono::milliseconds slow);  // that have taken so long already; false: there is none
   bool short_of_connections();  // while it stops
   void housekeep();
+  void watch_pauses();
   void opened(bool has_place);  // a client's connection, and its end
   void closed(bool had_place);
 
@@ -110,6 +112,7 @@
   Ledger alone_;
   const SteadyClock clock_;
   const Moment begun_ = Moment::clock::now();
+  core::Pauses pauses_{begun_};
   core::Balancer balancer_;
   Counters counters_;
   std::shared_ptr<const Terms> terms_;  // guarded by lock_
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/balancer.h"
 #include "core/lanes.h"
+#include "core/pauses.h"
 #include "core/stop_plan.h"
 #include "core/watch_pace.h"
 
@@ -404,3 +405,29 @@
   facade.balancer.tick();
   CHECK(facade.balancer.answered(second));
 }
+
+TEST_CASE("what is found right after the process stood still may have come as that began", "[core]") {
+  using std::chrono::milliseconds;
+  const core::Pauses::TimePoint start{};
+  const auto at = [&](int ms) { return start + milliseconds(ms); };
+  core::Pauses pauses(start);
+  CHECK(pauses.beat(at(20)).count() == 0);
+  CHECK(pauses.beat(at(50)).count() == 0);  // a little late is no pause
+  CHECK(pauses.earliest_arrival(at(60)) == at(60));
+  SECTION("before the pause itself has been noticed") { CHECK(pauses.earliest_arrival(at(140)) == at(50)); }
+  SECTION("and for as long as what came meanwhile may still be read") {
+    CHECK(pauses.beat(at(140)) == milliseconds(90));
+    CHECK(pauses.earliest_arrival(at(150)) == at(50));
+    CHECK(pauses.beat(at(160)).count() == 0);
+    CHECK(pauses.earliest_arrival(at(170)) == at(50));
+    for (int ms = 180; ms <= 300; ms += 20) CHECK(pauses.beat(at(ms)).count() == 0);
+    CHECK(pauses.earliest_arrival(at(300)) == at(300));
+  }
+  SECTION("a pause that follows at once is the same one, and none counts for more than the longest there is") {
+    CHECK(pauses.beat(at(140)) == milliseconds(90));
+    CHECK(pauses.beat(at(190)) == milliseconds(50));
+    CHECK(pauses.earliest_arrival(at(195)) == at(50));
+    CHECK(pauses.beat(at(400)) == milliseconds(210));
+    CHECK(pauses.earliest_arrival(at(400)) == at(400) - core::kLongestPause);
+  }
+}
