Failing tests: safe requests answered after their clients' limit where the process stands still

Real processes, SIGSTOP for 0.15 s: as the request comes, and as its limit comes due; its one backend hangs. Clients wait 60 ms more than they say.

--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -10,6 +10,7 @@
 constexpr int kTimeLimit = 1000;                 // milliseconds: the longest that the settings name
 constexpr milliseconds kKill{kTimeLimit + 700};  // the earliest SIGKILL after SIGTERM
 constexpr milliseconds kHoldUp{150};             // for so long a process may stand still
+constexpr milliseconds kClientSlack{60};         // a client waits for so much longer than it says
 
 // One process with the shim, before one backend. Its faults happen while the switch is on.
 class FaultyNode {
@@ -71,6 +72,13 @@
   }));
 }
 
+// How long after `sent` the bytes of the answer had come, as its client's system has noted.
+milliseconds answered_after(Visitor& visitor, Moment sent) {
+  Response r;
+  REQUIRE(visitor.receive(r) == Got::whole);
+  return std::chrono::duration_cast<milliseconds>(Moment::clock::now() - visitor.since_last_byte() - sent);
+}
+
 // How many of so many requests got no answer: each on a new connection, or all on one.
 int unanswered_on_new(const FaultyNode& node, int requests) {
   int unanswered = 0;
@@ -219,6 +227,34 @@
   CHECK(unanswered_at_kill(node, told, visitors) == 0);
 }
 
+TEST_CASE("a request that comes while the process stands still is answered by its client's limit", "[faults]") {
+  FaultyNode node("", no_news);
+  REQUIRE(node.comes_up());
+  const int limit = GENERATE(300, 678);
+  Visitor visitor(node.address());
+  node.program().signal(SIGSTOP);
+  visitor.send(request("view", "x", limit));
+  const Moment sent = Moment::clock::now();
+  std::this_thread::sleep_until(sent + kHoldUp);
+  node.program().signal(SIGCONT);
+  CHECK(answered_after(visitor, sent) <= milliseconds(limit) + kClientSlack);
+}
+
+TEST_CASE("a process that stands still as a request's limit comes due has answered it before", "[faults]") {
+  FaultyNode node("", no_news);
+  REQUIRE(node.comes_up());
+  const int limit = GENERATE(500, 678);
+  Visitor visitor(node.address());
+  visitor.send(request("view", "x", limit));
+  const Moment sent = Moment::clock::now();
+  // It ends later than the client waits, wherever in these 0.15 s the limit lies.
+  std::this_thread::sleep_until(sent + milliseconds(limit) - kHoldUp / 2);
+  node.program().signal(SIGSTOP);
+  std::this_thread::sleep_until(sent + milliseconds(limit) + kHoldUp / 2);
+  node.program().signal(SIGCONT);
+  CHECK(answered_after(visitor, sent) <= milliseconds(limit) + kClientSlack);
+}
+
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
 // TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -1,6 +1,7 @@
 // What the tests of the network code share: stand-ins in this process, on ports that the system gives.
 #pragma once
 
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -396,6 +397,13 @@
     REQUIRE(read_some(fd_.get(), bytes, soon()) == Io::done);
     return bytes;
   }
+  // How long ago the last bytes came, whenever they were read.
+  milliseconds since_last_byte() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    REQUIRE(::getsockopt(fd_.get(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0);
+    return milliseconds(info.tcpi_last_data_recv);
+  }
   void leave() { fd_.reset(); }
   bool ended() { return wait_readable(fd_.get(), soon()) == Io::done && !still_quiet(fd_.get()); }
 
