Root cause: a request's time was counted from its reading, not from when its last byte came

Callers saw: a safe request held past its limit and past the 60 ms that its client waits more, no answer; its one attempt given up as the client closed. Cause: Client::serve_one took the clock after the request was read. A process that stood still meanwhile held it longer by as much, before backends that hang. Change: its time begins when its last byte may have come: by the pauses that this process went through, and by what the system says of the connection's last bytes.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds kNextPiece{5};            // of an answer that goes on, from its backend
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
+constexpr Tenths kTenthsPerMs = 10;
+constexpr std::chrono::milliseconds kReadLate{20};  // counted and logged from here on
 constexpr std::string_view kText = "text/plain";
 constexpr std::array<std::string_view, 6> kNextNames = {"hand_off", "recall", "succeeded", "rejected", "given_up", "gone"};  // of core::Next
 
@@ -103,9 +105,8 @@
       return refuse(ended_here(reading, bad));
     }
     work->flows = !r.rest.whole();
-    const Moment read_at = Moment::clock::now();
-    work->read_late = std::chrono::duration_cast<std::chrono::milliseconds>(read_at - node_.pauses_.earliest_arrival(read_at));
-    if (work->read_late.count() > 0) note_late_reading(*work);
+    work->read_late = read_late();
+    if (work->read_late >= kReadLate) note_late_reading(*work);
     // Where this node has ended the reading itself, to make room, that looks like a client that has gone: a
     // request that crossed it was then lost.
     may_tell_leaving_ = !reading.was_ended();
@@ -113,7 +114,7 @@
   }
   // A connection carries one request at a time: what is sent ahead of an answer is no usual client's.
   if (!work->flows && in_.holds_bytes()) return refuse({400, Bad::ahead});
-  if (answer(work, node_.clock_.now())) {
+  if (answer(work, node_.clock_.now() - work->read_late.count() * kTenthsPerMs)) {
     in_.shrink();
     if (++answered_ == 2) ++node_.came_back_;
     return answered_ >= 2 ? Lobby::Wait::next : Lobby::Wait::once;
@@ -259,6 +260,15 @@
              log::Level::debug);
 }
 
+// How long ago the last byte of a request that has just been read may have come: its client's time runs from there.
+std::chrono::milliseconds Client::read_late() const {
+  const Moment now = Moment::clock::now();
+  const auto by_pauses = std::chrono::duration_cast<std::chrono::milliseconds>(now - node_.pauses_.earliest_arrival(now));
+  // To some milliseconds; a system that does not know says 0.
+  const auto by_system = since_last_bytes(fd_.get());
+  return std::max(by_pauses, by_system.value_or(std::chrono::milliseconds(0)));
+}
+
 void Client::note_late_reading(const Work& work) {
   ++node_.counters_.read_late;
   log::event("read_late", {{"transaction", std::string_view(work.request.transaction)}, {"ms", std::int64_t{work.read_late.count()}}});
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -32,6 +32,7 @@
   bool wanted(Work& work, BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
   bool pass_on(const Work& work, Exchange& exchange, bool keep);
+  std::chrono::milliseconds read_late() const;
   void note_late_reading(const Work& work);
   static void trace_flow(const Work& work, std::string_view stage, std::string_view how, std::size_t bytes);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -313,6 +313,13 @@
   return Io::late;
 }
 
+std::optional<std::chrono::milliseconds> since_last_bytes(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 bool still_quiet(int fd) { return look_at(fd) == Unread::none; }
 
 bool peer_has_closed(int fd) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -76,6 +77,8 @@
 Unread look_at(int fd);
 // Reads some of that without looking at it; `late`: there was none, and the connection is open.
 Io throw_away(int fd, std::size_t& thrown);
+// How long ago the last bytes came, read or not; nothing where the system does not tell.
+std::optional<std::chrono::milliseconds> since_last_bytes(int fd);
 bool still_quiet(int fd);      // surely open, and nothing has come: a connection that may be used again
 bool peer_has_closed(int fd);  // or reset it; also where what it sent before is unread still
 // Adds a socket to an epoll descriptor, or changes what is waited for on it. False: it is not watched.
