A process that stands still as a limit comes due has answered before it: 0.1 s are kept back

Cause: Client::invoke worked on a request up to its very limit; a pause of up to 0.15 s, of which a client bears 50 ms, made the answer late. Change: core::kept_back: 100 ms, a quarter of a shorter limit; also of the time that a body which flows leaves.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <deque>
 
+#include "core/answer_deadline.h"
 #include "log/log.h"
 
 namespace troutstage::net {
@@ -205,7 +206,8 @@
   demand.lease = work->offer.lane.lease;
   const auto tenant = work->terms->tenants.find(request.tenant);
   if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
-  demand.valid_until = arrived + request.remaining_ms * 10;
+  const auto kept_back = core::kept_back(std::chrono::milliseconds(request.remaining_ms)).count();
+  demand.valid_until = arrived + (request.remaining_ms - kept_back) * kTenthsPerMs;
   if (work->flows) {
     ++node_.counters_.bodies_flowed;
     // Its client's time runs from its last byte, which may be as long in coming as is promised.
@@ -214,7 +216,7 @@
     demand.valid_until += (left / kSlowestPerMs + kPieceWithin.count()) * 10;
     demand.flows = true;
     work->flow.rest = &work->request.rest;
-    work->flow.remaining_ms = request.remaining_ms - 20;
+    work->flow.remaining_ms = request.remaining_ms - kept_back;
     work->flow.next = [this, mine = work.get()](std::string& piece) {
       return mine->request.rest.next(in_, Moment::clock::now() + kPieceWithin, piece);
     };
