--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -79,6 +79,23 @@
   return std::chrono::duration_cast<milliseconds>(Moment::clock::now() - visitor.since_last_byte() - sent);
 }
 
+enum class Then { silence, reset, drip };
+// A backend that begins an answer and does not end it.
+Server::Handler begins(const std::string& bytes, Then then) {
+  return [bytes, then](const Server::Call& call) {
+    write_all(call.fd, bytes, soon());
+    if (then == Then::reset) {
+      std::this_thread::sleep_for(milliseconds(50));  // it has been passed on by then where that is done at all
+      const linger at_once{1, 0};
+      ::setsockopt(call.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      return std::string();
+    }
+    while (then == Then::drip && !call.server.stopping() && write_all(call.fd, "drips", soon(100)) == Io::done)
+      std::this_thread::sleep_for(milliseconds(30));
+    return no_news(call);
+  };
+}
+
 // How many of so many requests got no answer: each on a new connection, or all on one.
 int unanswered_on_new(const FaultyNode& node, int requests) {
   int unanswered = 0;
@@ -255,6 +272,43 @@
   CHECK(answered_after(visitor, sent) <= milliseconds(limit) + kClientSlack);
 }
 
+TEST_CASE("a long answer that its backend begins and does not end leaves no request without its final answer", "[faults]") {
+  const std::string half(150000, 'x'), head = "HTTP/1.1 200 OK\r\n";
+  const std::string of_length = head + "Content-Length: 300000\r\n\r\n", chunk = head + "Transfer-Encoding: chunked\r\n\r\n249f0\r\n";
+  const auto [bytes, then] = GENERATE_COPY(table<std::string, Then>({{of_length + half, Then::silence},
+                                                                      {of_length, Then::drip},
+                                                                      {chunk + half, Then::silence},
+                                                                      {chunk + half + "\r\n", Then::silence},
+                                                                      {head + "\r\n" + half, Then::silence},
+                                                                      {of_length + half, Then::reset},
+                                                                      {head + "\r\n" + half, Then::reset}}));
+  INFO(bytes.substr(0, 80) << " " << static_cast<int>(then));
+  FaultyNode node("", begins(bytes, then));
+  REQUIRE(node.comes_up());
+  constexpr int kLimit = 700;
+  SECTION("in its time") {
+    Visitor visitor(node.address());
+    visitor.send(request("view", "", kLimit));
+    const Moment sent = Moment::clock::now();
+    Response r;
+    REQUIRE(visitor.receive(r) == Got::whole);
+    CHECK(r.status == 503);
+    CHECK(Moment::clock::now() - sent <= milliseconds(kLimit) + kClientSlack);
+  }
+  SECTION("and keeps no process from ending before it is killed") {
+    std::vector<std::unique_ptr<Visitor>> visitors;
+    for (int i = 0; i < 4; ++i) visitors.push_back(std::make_unique<Visitor>(node.address()));
+    for (auto& visitor : visitors) visitor->send(request("view", "", kTimeLimit));
+    while (node.backend().calls() < 4) std::this_thread::yield();
+    node.program().signal(SIGTERM);
+    CHECK(node.program().exit_code(kKill) == 0);
+    for (auto& visitor : visitors) {
+      Response r;
+      CHECK(visitor->receive(r) == Got::whole);
+    }
+  }
+}
+
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
 // TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
