Long answers are kept until they are likely to come whole, and what goes on ends in time

Cause: Exchange::read_answer called a hand-off answered at the first bytes of a long answer; nothing was taken back then, and Client::pass_on waited 5 s for each piece whatever the request's limit or the stop of the node. What goes on is waited for until its client's limit, then 1 s a piece, and at a stop no longer than its last answers are due. An HTTP/1.0 client's connection is reset also where the process is killed. Body::next can be called again after a wait that ended (chunks were read wrongly then; nothing called it so before).

--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -75,22 +75,25 @@
     ~Hold() { bytes_.ledger_.mine().bytes -= held_; }
     Hold(const Hold&) = delete;
     Hold& operator=(const Hold&) = delete;
-    bool take(std::size_t n) {
+    bool take(std::size_t n) { return take_of(n, bytes_.all_); }
+    // The same for what need not be held: half of all stays for what has to be.
+    bool take_spare(std::size_t n) { return take_of(n, bytes_.all_ / 2); }
+
+   private:
+    bool take_of(std::size_t n, std::int64_t all) {
       const auto more = static_cast<std::int64_t>(n);
-      if (!bytes_.take(more)) return false;
+      if (!bytes_.take(more, all)) return false;
       held_ += more;
       return true;
     }
-
-   private:
     Bytes& bytes_;
     std::int64_t held_ = 0;
   };
 
  private:
-  bool take(std::int64_t n) {
+  bool take(std::int64_t n, std::int64_t all) {
     auto& mine = ledger_.mine().bytes;
-    if ((mine += n) + ledger_.others_bytes() <= all_) return true;
+    if ((mine += n) + ledger_.others_bytes() <= all) return true;
     mine -= n;
     return false;
   }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -18,7 +18,9 @@
 constexpr std::chrono::milliseconds kSlowestHead{2500}, kSlowestBody{2700};
 constexpr std::chrono::milliseconds kPieceWithin{2000};  // of a body, whatever came before
 constexpr std::chrono::seconds kSlowestReader{5};        // takes a piece of an answer
-constexpr std::chrono::seconds kNextPiece{5};            // of an answer that goes on, from its backend
+constexpr std::chrono::milliseconds kLongestPauseLate{1000};  // of an answer that goes on after its client's limit
+constexpr std::chrono::milliseconds kLookAtStop{50};          // how often one that waits for more looks for a stop
+constexpr std::size_t kOneWrite = 64 * 1024;                  // of an answer, within kSlowestReader
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr Tenths kTenthsPerMs = 10;
@@ -50,6 +52,7 @@
   bool flows = false;  // the same
   std::optional<Transactions::Open> open;
   std::chrono::milliseconds read_late{0};  // so long after its last byte may it have been read
+  Moment client_limit;                     // until when its client waits for its answer
   core::Ticket ticket;
   int client_socket = -1;  // open until the answer is final; -1: its end can't be told from one made here
   // By number. The client's thread changes it, and while that is busy whoever has the balancer's lock.
@@ -208,6 +211,7 @@
   if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
   const auto kept_back = core::kept_back(std::chrono::milliseconds(request.remaining_ms)).count();
   demand.valid_until = arrived + (request.remaining_ms - kept_back) * kTenthsPerMs;
+  work->client_limit = node_.clock_.at(arrived + request.remaining_ms * kTenthsPerMs);
   if (work->flows) {
     ++node_.counters_.bodies_flowed;
     // Its client's time runs from its last byte, which may be as long in coming as is promised.
@@ -305,13 +309,31 @@
   return reply(503, "rejected\n", keep, step.retry_in > 0 ? retry : "");
 }
 
-// An answer too long to keep goes out as it comes. No time limit cuts it, only a side that does not go on; where
-// it breaks its client can tell that it is not whole.
+// The next piece of an answer that goes on. A backend that pauses is waited for until its client's limit, after that
+// for a while each time; no longer than this node has once it was told to end.
+Got Client::next_piece(const Work& work, Exchange& exchange, std::string& piece) {
+  const Moment limit = std::max(work.client_limit, Moment::clock::now() + kLongestPauseLate);
+  for (;;) {
+    const Moment now = Moment::clock::now();
+    const Got got = exchange.next(std::min(limit, now + kLookAtStop), piece);
+    if (got != Got::late || Moment::clock::now() >= limit || Moment::clock::now() >= node_.accept_by_.load()) return got;
+  }
+}
+
+// Whether a close of the client's connection looks like an end of its answer, so that only a reset tells a break.
+void Client::reset_at_close(bool resets) {
+  const linger option{resets ? 1 : 0, 0};
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+// An answer too long to keep, or that is slow but goes on. What still comes is never cut; where it breaks its client can
+// tell that it is not whole, also where this process is killed.
 bool Client::pass_on(const Work& work, Exchange& exchange, bool keep) {
   const Response& r = exchange.answer();
   const bool has_length = exchange.rest().framing() == Framing::length;
   const bool in_chunks = !has_length && !work.request.old_version;
-  keep = keep && (has_length || in_chunks);
+  const bool ends_by_close = !has_length && !in_chunks;
+  keep = keep && !ends_by_close;
   ++node_.counters_.answers_flowed;
   std::string head = has_length ? response_head(200, r.content_type, r.body.size() + exchange.rest().left(), keep)
                                 : streamed_head(r.content_type, in_chunks, keep);
@@ -319,11 +341,12 @@
     return in_chunks ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : std::string(piece);
   };
   trace_flow(work, "begins", kFramingNames[static_cast<std::size_t>(exchange.rest().framing())], r.body.size());
+  if (ends_by_close) reset_at_close(true);
   std::size_t passed = r.body.size();
   Got got = Got::whole;
-  bool taken = write(std::move(head), framed(r.body));  // by the client
+  bool taken = write(std::move(head), r.body.empty() ? "" : framed(r.body));  // by the client
   for (std::string piece; taken && got == Got::whole && !exchange.rest().whole(); piece.clear()) {
-    got = exchange.next(Moment::clock::now() + kNextPiece, piece);
+    got = next_piece(work, exchange, piece);
     taken = got != Got::whole || piece.empty() || write("", framed(piece));
     passed += piece.size();
   }
@@ -332,13 +355,11 @@
   trace_flow(work, "ends", !taken ? "client_gone" : kGotNames[static_cast<std::size_t>(got)], passed);
   exchange.finish();
   ++(whole ? work.offer.answers->succeeded : work.offer.answers->given_up);
+  if (whole && ends_by_close) reset_at_close(false);
   if (whole) return keep;
   ++node_.counters_.answers_cut;
   closing_ = Closing::answer_cut;
-  // With no length and no chunks its end is the connection's: only a reset tells a break from that.
-  const linger at_once{1, 0};
-  resets_ = !has_length && !in_chunks;
-  if (resets_) ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  resets_ = ends_by_close;
   return false;
 }
 
@@ -400,7 +421,7 @@
 std::function<void()> Client::prepare(Node& node, const std::shared_ptr<Work>& work, const core::Step& step) {
   ++node.counters_.handed_off;
   try {
-    const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, work->terms->connect_limit);
+    const auto exchange = std::make_shared<Exchange>(node.pool_, node.counters_, node.bytes_, work->terms->connect_limit);
     work->exchanges.resize(static_cast<std::size_t>(step.number) + 1);
     work->exchanges.back() = exchange;
     const auto target = node.directory_.find(step.backend);
@@ -428,8 +449,11 @@
 }
 
 bool Client::write(std::string head, std::string_view body) {
-  const Moment limit = Moment::clock::now() + kSlowestReader;
-  if (write_both(fd_.get(), std::move(head), body, limit) == Io::done) return true;
+  const auto limit = [] { return Moment::clock::now() + kSlowestReader; };
+  Io io = write_both(fd_.get(), std::move(head), body.substr(0, kOneWrite), limit());
+  for (std::size_t at = kOneWrite; io == Io::done && at < body.size(); at += kOneWrite)
+    io = write_all(fd_.get(), body.substr(at, kOneWrite), limit());
+  if (io == Io::done) return true;
   ++node_.counters_.answers_unread;
   closing_ = Closing::answer_cut;
   return false;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -32,6 +32,8 @@
   bool wanted(Work& work, BadRequest& bad);
   bool answer(const std::shared_ptr<Work>& work, Tenths arrived);
   bool pass_on(const Work& work, Exchange& exchange, bool keep);
+  Got next_piece(const Work& work, Exchange& exchange, std::string& piece);
+  void reset_at_close(bool resets);
   std::chrono::milliseconds read_late() const;
   void note_late_reading(const Work& work);
   static void trace_flow(const Work& work, std::string_view stage, std::string_view how, std::size_t bytes);
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 
+#include "core/answer_hold.h"
+
 namespace troutstage::net {
 namespace {
 
-constexpr std::chrono::milliseconds kStall{250};  // an answer that has begun goes on sooner than this
+constexpr std::chrono::milliseconds kStall{250};  // a short answer that has begun goes on sooner than this
+constexpr std::size_t kMostHeld = 1 << 20;        // of a long answer before it goes on
+constexpr std::size_t kLargestPiece = 8 * 1024;   // that one read brings
 
 std::uint64_t number_of(const sockaddr_in& a) {
   return (static_cast<std::uint64_t>(a.sin_addr.s_addr) << 16) | a.sin_port;
@@ -97,6 +101,32 @@
   return true;
 }
 
+// Kept until it is whole, or is likely to become so: what has begun to go on to the client can't be taken back. Whole:
+// it may go on from here.
+Got Exchange::read_long(Moment until) {
+  // Cut at the first pause of a quarter of a second, a slow backend's long answer was lost.
+  in_->be_patient();
+  core::AnswerHold hold(Moment::clock::now(), until);
+  hold.note(Moment::clock::now(), answer_.body.size());
+  std::size_t room = kMostBody;
+  while (!rest_.whole()) {
+    if (answer_.body.size() + kLargestPiece > room) {
+      if (room >= kMostHeld || !bytes_.take_spare(kMostBody)) return Got::whole;
+      room += kMostBody;
+    }
+    const std::size_t before = answer_.body.size();
+    const Got got = rest_.next(*in_, hold.next_look(Moment::clock::now()), answer_.body);
+    const Moment now = Moment::clock::now();
+    if (got != Got::whole && got != Got::late) return got;
+    if (got == Got::whole) hold.note(now, answer_.body.size() - before);
+    if (rest_.whole()) break;
+    const auto verdict = hold.at(now);
+    if (verdict == core::AnswerHold::Verdict::pass_on) return Got::whole;
+    if (verdict == core::AnswerHold::Verdict::give_up) return Got::late;
+  }
+  return Got::whole;
+}
+
 Ended Exchange::read_answer(Moment until) {
   const auto how = [](Got got) {
     switch (got) {
@@ -111,16 +141,12 @@
     return Ended::answer_malformed;
   };
   Got got = read_answer_head(*in_, until, answer_, rest_, kLongestBody);
-  // A long answer goes on to its client as it comes; it is kept no longer than it takes to know it for one.
-  const bool is_long = rest_.framing() == Framing::length && rest_.left() > kMostBody;
-  while (got == Got::whole && !rest_.whole() &&
-         !(answer_.status == 200 && answer_.body.size() > (is_long ? 0 : kMostBody)) &&
-         answer_.body.size() <= kMostBody)
+  const bool is_long = answer_.status == 200 && rest_.framing() == Framing::length && rest_.left() > kMostBody;
+  while (got == Got::whole && !rest_.whole() && !is_long && answer_.body.size() <= kMostBody)
     got = rest_.next(*in_, until, answer_.body);
+  if (got == Got::whole && !rest_.whole() && answer_.status == 200) got = read_long(until);
   if (got != Got::whole) return how(got);
   read_ = true;
-  // Cut at the first pause of a quarter of a second, a slow backend's long answer was lost.
-  if (!rest_.whole()) in_->be_patient();
   if (answer_.turned_away) return Ended::turned_away;
   return answer_.status == 200 ? Ended::answered : Ended::answered_error;
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "net/budget.h"
 #include "net/counters.h"
 #include "net/http.h"
 #include "net/pool.h"
@@ -35,8 +36,8 @@
 
 class Exchange {
  public:
-  Exchange(Pool& pool, Counters& counters, std::chrono::steady_clock::duration connect_limit)
-      : pool_(pool), counters_(counters), connect_limit_(connect_limit) {}
+  Exchange(Pool& pool, Counters& counters, Bytes& bytes, std::chrono::steady_clock::duration connect_limit)
+      : pool_(pool), counters_(counters), bytes_(bytes), connect_limit_(connect_limit) {}
   // Blocks till it is over, at `until` at the latest.
   Ended run(const Request& request, const Target& target, Moment until, Flow* flow = nullptr, const Begins& begins = {});
   Moment first_byte() const { return first_byte_; }  // after run(); the clock's start: none went
@@ -53,9 +54,11 @@
   Ended talk(bool open, const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins);
   bool send_rest(int fd, Flow& flow, Moment until, Ended& ended);
   Ended read_answer(Moment until);
+  Got read_long(Moment until);
 
   Pool& pool_;
   Counters& counters_;
+  Bytes::Hold bytes_;  // of a long answer, beyond what each may have
   const std::chrono::steady_clock::duration connect_limit_;
   Response answer_;
   Body rest_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n", kBlankLine = "\r\n\r\n";
+constexpr std::size_t kMostTrailers = 64;
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 bool is_token(std::string_view text) {
@@ -245,18 +246,33 @@
 
 // Before a chunk's bytes: the end of the one before, the next one's size; after the last one the trailers.
 Got Body::next_chunk(Reader& in, Moment limit) {
-  std::string line;
-  if (std::exchange(in_chunks_, true)) {
+  if (chunks_ == Chunks::end_of_data) {
+    std::string line;
     if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
     if (!line.empty()) return Got::malformed;
+    chunks_ = Chunks::size;
   }
+  if (chunks_ == Chunks::size)
+    if (const Got got = read_size(in, limit); got != Got::whole) return got;
+  return chunks_ == Chunks::trailers ? read_trailers(in, limit) : Got::whole;
+}
+
+Got Body::read_size(Reader& in, Moment limit) {
+  std::string line;
   if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
   const std::string_view digits = trimmed(std::string_view(line).substr(0, line.find(';')));
-  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, 16);
+  std::size_t size = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
   if (error != std::errc() || end != digits.data() + digits.size()) return Got::malformed;
-  if (left_ > most_ || taken_ + left_ > most_) return Got::too_large;
-  if (left_ > 0) return Got::whole;
-  for (std::size_t trailers = 0; trailers < 64; ++trailers) {
+  if (size > most_ || taken_ + size > most_) return Got::too_large;
+  left_ = size;
+  chunks_ = size > 0 ? Chunks::end_of_data : Chunks::trailers;
+  return Got::whole;
+}
+
+Got Body::read_trailers(Reader& in, Moment limit) {
+  for (; trailers_ < kMostTrailers; ++trailers_) {
+    std::string line;
     if (const Got got = in.read_line(limit, line); got != Got::whole) return got;
     if (line.empty()) return whole_ = true, Got::whole;
   }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -85,14 +85,19 @@
   Framing framing() const { return framing_; }
   std::size_t left() const { return left_; }  // by its length, or of the chunk that is read
   bool whole() const { return whole_; }
-  // Appends what there is; nothing where that was the end of it.
+  // Appends what there is; nothing where that was the end of it. After `late` it may be called again.
   Got next(Reader& in, Moment limit, std::string& into);
 
  private:
+  enum class Chunks { size, end_of_data, trailers };  // what comes next where no byte of a chunk is left
   Got next_chunk(Reader& in, Moment limit);
+  Got read_size(Reader& in, Moment limit);
+  Got read_trailers(Reader& in, Moment limit);
   Framing framing_ = Framing::none;
   std::size_t left_ = 0, most_ = 0, taken_ = 0;
-  bool whole_ = true, in_chunks_ = false;
+  std::size_t trailers_ = 0;
+  Chunks chunks_ = Chunks::size;
+  bool whole_ = true;
 };
 
 struct Request {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -197,3 +197,21 @@
   CHECK_THROWS_AS(parse_address("localhost:80"), Malformed);
   CHECK_THROWS_AS(parse_address("127.0.0.1:99999"), Malformed);
 }
+
+TEST_CASE("a body's reading goes on after a wait that ended, wherever that was", "[http]") {
+  const std::string bytes = "3\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+  int ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  const Fd here(ends[0]), there(ends[1]);
+  Reader in(here.get());
+  Body body(Framing::chunked, 0, 100);
+  std::string got;
+  for (const char c : bytes) {
+    REQUIRE_FALSE(body.whole());
+    while (body.next(in, Moment::clock::now(), got) == Got::whole) {
+    }
+    REQUIRE(write_all(there.get(), std::string_view(&c, 1), soon()) == Io::done);
+  }
+  while (!body.whole()) REQUIRE(body.next(in, soon(), got) == Got::whole);
+  CHECK(got == "abcde");
+}
