A client for whom no thread is to be had for a moment waits for one, and keeps its connection

Callers saw: 503 and a close at the first thread that could not be created. Cause: Lobby::leave turned away at once (Client::turn_away). Change: its request waits unread for up to 0.2 s, looked at every 2 ms; turned away after that.

--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -20,7 +20,8 @@
 constexpr std::chrono::milliseconds kStay[] = {std::chrono::milliseconds(2000), std::chrono::seconds(2),
                                                std::chrono::seconds(8), std::chrono::milliseconds(1000)};
 constexpr std::chrono::milliseconds kLook{100};      // how exactly that is kept
-constexpr std::chrono::milliseconds kWatchAgain{2};  // between tries to have a socket monitored
+constexpr std::chrono::milliseconds kTryAgain{2};    // to have a socket monitored, or a request served
+constexpr std::chrono::milliseconds kThreadPatience{200};  // with a shortage of threads
 
 }  // namespace
 
@@ -33,7 +34,7 @@
 void Lobby::run() {
   for (Moment next_look; !stopped_;) {
     std::array<epoll_event, 64> events{};
-    const auto wait = any_unwatched_ ? kWatchAgain : kLook;
+    const auto wait = any_unwatched_ || any_unserved_ ? kTryAgain : kLook;
     const int n = ::epoll_wait(poll_.get(), events.data(), static_cast<int>(events.size()),
                                static_cast<int>(wait.count()));
     if (n < 0 && classify(errno) == Failure::other)
@@ -44,6 +45,7 @@
       else take_note(wake_);
     }
     if (any_unwatched_) watch_unwatched();
+    if (any_unserved_) serve_unserved();
     if (const Moment now = Moment::clock::now(); now >= next_look) {
       next_look = now + kLook;
       close_old();
@@ -65,6 +67,13 @@
   any_unwatched_ = !unwatched_.empty();
 }
 
+void Lobby::serve_unserved() {
+  std::lock_guard held(lock_);
+  for (const std::uint64_t id : std::set(unserved_))
+    if (const auto at = all_.find(id); at != all_.end()) leave(at, Closing::by_client);
+  any_unserved_ = !unserved_.empty();
+}
+
 void Lobby::enter(std::shared_ptr<Client> client, Wait wait) {
   std::lock_guard held(lock_);
   admit(std::move(client), wait);
@@ -81,7 +90,7 @@
   }
   const Moment now = Moment::clock::now();
   const int fd = client->fd();
-  all_.emplace(next_, Waiting{std::move(client), wait, now, now + kStay[static_cast<std::size_t>(wait)]});
+  all_.emplace(next_, Waiting{std::move(client), wait, now, now + kStay[static_cast<std::size_t>(wait)], std::nullopt});
   const std::uint64_t id = next_++;
   if (monitor(poll_.get(), fd, EPOLLIN, id)) return;
   // Never looked at, a request on it would be found at the connection's end only.
@@ -97,8 +106,10 @@
   const Unread unread = was_told_last ? Unread::none : look_at(fd);
   const bool seems_to_have_come = why == Closing::by_client && !was_told_last;
   if (seems_to_have_come ? unread == Unread::none : unread == Unread::unknown) return;
+  const std::uint64_t id = at->first;
   Waiting gone = std::move(at->second);
-  unwatched_.erase(at->first);
+  unwatched_.erase(id);
+  unserved_.erase(id);
   all_.erase(at);
   stop_monitoring(poll_.get(), fd);
   --waiting_[static_cast<std::size_t>(gone.wait)];
@@ -106,6 +117,16 @@
   gone.client->closes_for(is_over ? Closing::by_client : was_told_last ? Closing::last_answer : why);
   // A request that has come is answered, whatever the connection was to leave for.
   if (is_over || unread == Unread::none || ready_(gone.client)) return;
+  const Moment now = Moment::clock::now();
+  if (!gone.no_thread_since) gone.no_thread_since = now;
+  if (now - *gone.no_thread_since < kThreadPatience) {
+    // Not monitored: what has come would wake this thread without end.
+    ++waiting_[static_cast<std::size_t>(gone.wait)];
+    all_.emplace(id, std::move(gone));
+    unserved_.insert(id);
+    any_unserved_ = true;
+    return wake(wake_);
+  }
   // Closed now, over a request that nobody has read, the connection would be reset and its answer lost.
   gone.client->turn_away();
   admit(std::move(gone.client), Wait::end);
--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 
 #include "net/closing.h"
@@ -28,7 +29,7 @@
   using Ready = std::function<bool(std::shared_ptr<Client>)>;  // false: nobody can work for it
   using Most = std::array<std::size_t, 4>;
   // `ready` is called for each connection on which something has come, on the lobby's thread; one that it has
-  // nobody for is turned away here. So many may wait for each thing; beyond that the one that has waited for
+  // nobody for, also after a while, is turned away here. So many may wait for each thing; beyond that the one that has waited for
   // it the longest goes.
   Lobby(Ready ready, const Most& most);
 
@@ -46,6 +47,7 @@
     std::shared_ptr<Client> client;
     Wait wait;
     Moment since, limit;
+    std::optional<Moment> no_thread_since;  // its request has come, and no thread was to be had for it
   };
   using All = std::map<std::uint64_t, Waiting>;  // the oldest first
   // Takes one out, and gives it to whom it goes: what has come on it is still looked at. Where that look
@@ -55,6 +57,7 @@
   void look(std::uint64_t id);
   void close_old();
   void watch_unwatched();
+  void serve_unserved();
 
   const Ready ready_;
   const Most most_;
@@ -65,7 +68,8 @@
   std::uint64_t next_ = 1;
   Most waiting_{};                     // how many wait for each thing
   std::set<std::uint64_t> unwatched_;  // those that the monitor could not take yet
-  std::atomic<bool> any_unwatched_{false}, stopped_{false};
+  std::set<std::uint64_t> unserved_;   // those for whose request no thread was to be had yet
+  std::atomic<bool> any_unwatched_{false}, any_unserved_{false}, stopped_{false};
 };
 
 }  // namespace troutstage::net
