--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -28,6 +28,7 @@
   bool hold_at_stop = false;  // SIGSTOP for 0.15 s right before a stopping node has to have ended
   bool signals = false;       // SIGHUP, SIGUSR1 and further SIGTERM in series, also around a stop
   double hangs = 0.2;         // of the backends' requests
+  double begins = 0;          // the same: a long answer begins, and stops in the middle
   double leaves = 0;          // of the clients: they close before their answer
   double slow = 0;            // of the clients: they write a request in pieces, over up to 0.4 s
   int time_limit_ms = 1000;   // the longest that the settings name
@@ -215,6 +216,10 @@
       }
     }
     if (static_cast<double>(drawn % 1000) < plan_.hangs * 1000) return no_news(call);
+    if (static_cast<double>(drawn / 1000 % 1000) < plan_.begins * 1000) {
+      write_all(call.fd, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + std::string(150000, 'x'), soon(500));
+      return no_news(call);
+    }
     std::this_thread::sleep_for(milliseconds(1 + drawn / 1000 % 40));
     return ok(id);
   }
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -321,6 +321,18 @@
   }
 }
 
+namespace {
+void check_soak(const Plan& plan) {
+  Run run(plan);
+  const Breaks breaks = run.play();
+  WARN(told(breaks));
+  CHECK(breaks.lost.empty());
+  CHECK(breaks.wrong.empty());
+  CHECK(breaks.begun_late.empty());
+  CHECK(breaks.crashed.empty());
+}
+}  // namespace
+
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
 // TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
@@ -341,17 +353,24 @@
     else if (key == "signals") plan.signals = value > 0;
     else if (key == "hold_at_stop") plan.hold_at_stop = value > 0;
     else if (key == "hangs") plan.hangs = value;
+    else if (key == "begins") plan.begins = value;
     else if (key == "leaves") plan.leaves = value;
     else if (key == "slow") plan.slow = value;
     else if (key == "limit_ms") plan.time_limit_ms = static_cast<int>(value);
     else FAIL("unknown field " << key);
   }
   if (const char* faults = std::getenv("TROUTSTAGE_SOAK_FAULTS")) plan.faults = faults;
-  Run run(plan);
-  const Breaks breaks = run.play();
-  WARN(told(breaks));
-  CHECK(breaks.lost.empty());
-  CHECK(breaks.wrong.empty());
-  CHECK(breaks.begun_late.empty());
-  CHECK(breaks.crashed.empty());
+  check_soak(plan);
+}
+
+TEST_CASE("a short soak of restarts, pauses, signals, long answers that stop and a crowd breaks no rule", "[faults]") {
+  Plan plan;
+  plan.seed = GENERATE(as<std::uint64_t>(), 4101, 4102);
+  plan.length = milliseconds(10000);
+  plan.clients = 8;
+  plan.holds_up = plan.signals = true;
+  plan.begins = 0.05;
+  plan.leaves = 0.1;
+  plan.crowd = plan.seed % 2 == 0 ? 150 : 0;
+  check_soak(plan);
 }
