--- a/src/core/answer_hold.cpp
+++ b/src/core/answer_hold.cpp
@@ -11,8 +11,8 @@
 constexpr std::chrono::milliseconds kLongestHold{1700};
 // An answer goes on while its pause is not much longer than those before; within these bounds.
 constexpr int kGapsBorne = 2;
-constexpr std::chrono::milliseconds kShortestPause{20}, kLongestPause{250};
-constexpr std::size_t kLeastPerMs = 16;           // bytes; a slower one is taken for one that never ends
+constexpr std::chrono::milliseconds kLeastBorne{20}, kMostBorne{250};
+constexpr std::size_t kLeastPerMs = 16;  // bytes; a slower one is taken for one that never ends
 
 }  // namespace
 
@@ -28,7 +28,7 @@
 }
 
 bool AnswerHold::goes_on(TimePoint now) const {
-  const auto pause = std::clamp<TimePoint::duration>(kGapsBorne * longest_gap_, kShortestPause, kLongestPause);
+  const auto pause = std::clamp<TimePoint::duration>(kGapsBorne * longest_gap_, kLeastBorne, kMostBorne);
   return is_fast_enough(now) && now - last_piece_ <= pause;
 }
 
--- a/src/core/answer_hold.h
+++ b/src/core/answer_hold.h
@@ -1,7 +1,8 @@
-// Whether a long answer that has begun to come is still kept back from its client. Kept, another backend's may take its
-// place, or the request may be refused; passed on, only its own end is left.
+// Whether a long answer that has begun to come is still kept back from its client. Kept, another backend's
+// may take its place, or the request may be refused; passed on, only its own end is left.
 //
-// How to call it: note() each piece; ask at() after each, and when next_look() has come. It does no I/O and reads no clock.
+// How to call it: note() each piece; ask at() after each, and when next_look() has come. It does no I/O and
+// reads no clock.
 #pragma once
 
 #include <chrono>
--- a/src/core/pauses.h
+++ b/src/core/pauses.h
@@ -1,6 +1,8 @@
-// When this process stood still: it was stopped, or had no processor. What it finds afterwards may have come meanwhile.
+// When this process stood still: it was stopped, or had no processor. What it finds afterwards may have come
+// meanwhile.
 //
-// How to call it: beat() every kBeat from one thread; earliest_arrival() from any thread. It does no I/O and reads no clock.
+// How to call it: beat() every kBeat from one thread; earliest_arrival() from any thread. It does no I/O and
+// reads no clock.
 #pragma once
 
 #include <chrono>
@@ -23,8 +25,8 @@
 
   // Returns how long the process stood still before this beat, from the one before on; zero where it did not.
   std::chrono::milliseconds beat(TimePoint now);
-  // The earliest that something found at `now` can have come: `now`, unless the process stood still right before. At most
-  // kLongestPause earlier.
+  // The earliest that something found at `now` can have come: `now`, unless the process stood still right
+  // before. At most kLongestPause earlier.
   TimePoint earliest_arrival(TimePoint now) const;
 
  private:
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -209,13 +209,13 @@
   const auto tenant = work->terms->tenants.find(request.tenant);
   if (tenant != work->terms->tenants.end()) demand.tenant = tenant->second;
   demand.valid_until = arrived + request.remaining_ms * kTenthsPerMs;
-  work->client_limit = node_.clock_.at(arrived + request.remaining_ms * kTenthsPerMs);
+  work->client_limit = node_.clock_.at(demand.valid_until);
   if (work->flows) {
     ++node_.counters_.bodies_flowed;
     // Its client's time runs from its last byte, which may be as long in coming as is promised.
     const auto left = static_cast<std::int64_t>(
         request.rest.framing() == Framing::length ? request.rest.left() : kLongestBody);
-    demand.valid_until += (left / kSlowestPerMs + kPieceWithin.count()) * 10;
+    demand.valid_until += (left / kSlowestPerMs + kPieceWithin.count()) * kTenthsPerMs;
     demand.flows = true;
     work->flow.rest = &work->request.rest;
     work->flow.remaining_ms = request.remaining_ms - 20;
@@ -258,7 +258,7 @@
 void Client::trace_answer(const Work& work, std::string_view how, Tenths arrived) const {
   if (!log::wanted(log::Level::debug)) return;
   log::event("answered", {{"transaction", std::string_view(work.request.transaction)}, {"connection", id_}, {"how", how},
-                          {"hand_offs", std::uint64_t{work.exchanges.size()}}, {"held_ms", std::int64_t{(node_.clock_.now() - arrived) / 10}},
+                          {"hand_offs", std::uint64_t{work.exchanges.size()}}, {"held_ms", std::int64_t{(node_.clock_.now() - arrived) / kTenthsPerMs}},
                           {"told_ms", work.request.remaining_ms},
                           {"read_late_ms", std::int64_t{work.read_late.count()}}},
              log::Level::debug);
@@ -312,7 +312,7 @@
   for (;;) {
     const Moment now = Moment::clock::now();
     const Got got = exchange.next(std::min(limit, now + kLookAtStop), piece);
-    if (got != Got::late || Moment::clock::now() >= limit || Moment::clock::now() >= node_.accept_by_.load()) return got;
+    if (got != Got::late || Moment::clock::now() >= limit || Moment::clock::now() >= node_.answer_by_.load()) return got;
   }
 }
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -106,8 +106,9 @@
 Got Exchange::read_long(Moment until) {
   // Cut at the first pause of a quarter of a second, a slow backend's long answer was lost.
   in_->be_patient();
-  core::AnswerHold hold(Moment::clock::now(), until);
-  hold.note(Moment::clock::now(), answer_.body.size());
+  const Moment begun = Moment::clock::now();
+  core::AnswerHold hold(begun, until);
+  hold.note(begun, answer_.body.size());
   std::size_t room = kMostBody;
   while (!rest_.whole()) {
     if (answer_.body.size() + kLargestPiece > room) {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -170,7 +170,7 @@
       changed_.wait_for(held, kLook, [this] { return over_budget_ < reserve_; });
       if (over_budget_ >= reserve_) {
         held.unlock();
-        if (leaving_ && Moment::clock::now() >= accept_by_.load()) break;
+        if (leaving_ && Moment::clock::now() >= answer_by_.load()) break;
         if (paired_) lobby_.make_room(true);
         continue;
       }
@@ -184,7 +184,7 @@
     }
     // Once this node accepts no more, those that the system has taken for it already are still served.
     const bool last = leaving_;
-    if (last && Moment::clock::now() >= accept_by_.load()) break;
+    if (last && Moment::clock::now() >= answer_by_.load()) break;
     if (!last && !await_client()) continue;
     if (!accepted(accept_from(listener_.get()), last)) break;
   }
@@ -485,7 +485,7 @@
   log::info("stopping");
   const Moment told = Moment::clock::now();
   const bool has_end = how.answering.count() >= 0;
-  if (has_end) balancer_.answer_all_by(clock_.now() + how.answering.count() * 10), accept_by_ = told + how.answering;
+  if (has_end) balancer_.answer_all_by(clock_.now() + how.answering.count() * 10), answer_by_ = told + how.answering;
   const auto stage = [&](std::string_view name, std::size_t open) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(Moment::clock::now() - told).count();
     log::event("stop", {{"stage", name}, {"ms", std::int64_t{ms}}, {"clients", std::uint64_t{open}}, {"held", counters_.open.load()}});
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -137,7 +137,7 @@
   std::atomic<bool> paired_{false};      // another process of this node is there
   std::atomic<bool> hands_over_{false};  // it stops, and a successor takes what comes
   std::atomic<bool> leaving_{false};  // it stops, and closes what has been answered
-  std::atomic<Moment> accept_by_{Moment::max()};  // what has not been accepted by then, once it leaves, is not
+  std::atomic<Moment> answer_by_{Moment::max()};  // once it stops: its last answers are due then, and what has not been accepted is not any more
   int accept_shortages_ = 0;          // in a row; the accepting thread's own
   std::atomic<std::uint64_t> connections_{0};  // clients', numbered for the log
   Moment drained_since_;              // guarded by lock_
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -147,6 +147,16 @@
   CHECK(node.program().exit_code() == 0);
 }
 
+void check_soak(const Plan& plan) {
+  Run run(plan);
+  const Breaks breaks = run.play();
+  WARN(told(breaks));
+  CHECK(breaks.lost.empty());
+  CHECK(breaks.wrong.empty());
+  CHECK(breaks.begun_late.empty());
+  CHECK(breaks.crashed.empty());
+}
+
 }  // namespace
 
 TEST_CASE("a call that fails for a moment costs no request its answer and no client its connection",
@@ -321,18 +331,6 @@
   }
 }
 
-namespace {
-void check_soak(const Plan& plan) {
-  Run run(plan);
-  const Breaks breaks = run.play();
-  WARN(told(breaks));
-  CHECK(breaks.lost.empty());
-  CHECK(breaks.wrong.empty());
-  CHECK(breaks.begun_late.empty());
-  CHECK(breaks.crashed.empty());
-}
-}  // namespace
-
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
 // TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -1,7 +1,6 @@
 // What the tests of the network code share: stand-ins in this process, on ports that the system gives.
 #pragma once
 
-#include <netinet/tcp.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -399,10 +398,9 @@
   }
   // How long ago the last bytes came, whenever they were read.
   milliseconds since_last_byte() const {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    REQUIRE(::getsockopt(fd_.get(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0);
-    return milliseconds(info.tcpi_last_data_recv);
+    const auto known = since_last_bytes(fd_.get());
+    REQUIRE(known);
+    return *known;
   }
   void leave() { fd_.reset(); }
   bool ended() { return wait_readable(fd_.get(), soon()) == Io::done && !still_quiet(fd_.get()); }
