--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -282,6 +282,17 @@
              log::Level::debug);
 }
 
+// An answer that broke after it had begun to go on to its client. Times are milliseconds since the request's last byte.
+void Client::note_cut_answer(const Work& work, std::string_view why, Moment begun, Moment last_piece, std::size_t bytes) {
+  const Moment arrived = work.client_limit - std::chrono::milliseconds(work.request.remaining_ms);
+  const auto since_arrival = [arrived](Moment when) {
+    return std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(when - arrived).count()};
+  };
+  log::event("answer_cut", {{"transaction", std::string_view(work.request.transaction)}, {"why", why}, {"bytes", std::uint64_t{bytes}},
+                            {"limit_ms", work.request.remaining_ms}, {"begun_ms", since_arrival(begun)},
+                            {"last_piece_ms", since_arrival(last_piece)}, {"cut_ms", since_arrival(Moment::clock::now())}});
+}
+
 // Writes an invocation's one answer.
 bool Client::end(const Work& work, const core::Step& step, bool keep) {
   if (step.what == core::Next::gone) return ++node_.counters_.client_gone, false;
@@ -339,20 +350,25 @@
   trace_flow(work, "begins", kFramingNames[static_cast<std::size_t>(exchange.rest().framing())], r.body.size());
   if (ends_by_close) reset_at_close(true);
   std::size_t passed = r.body.size();
+  const Moment begun = Moment::clock::now();
+  Moment last_piece = begun;
   Got got = Got::whole;
   bool taken = write(std::move(head), r.body.empty() ? "" : framed(r.body));  // by the client
   for (std::string piece; taken && got == Got::whole && !exchange.rest().whole(); piece.clear()) {
     got = next_piece(work, exchange, piece);
+    if (got == Got::whole) last_piece = Moment::clock::now();
     taken = got != Got::whole || piece.empty() || write("", framed(piece));
     passed += piece.size();
   }
   bool whole = taken && got == Got::whole;
   if (whole && in_chunks) whole = taken = write("", "0\r\n\r\n");
-  trace_flow(work, "ends", !taken ? "client_gone" : kGotNames[static_cast<std::size_t>(got)], passed);
+  const std::string_view how = taken ? kGotNames[static_cast<std::size_t>(got)] : "client_gone";
+  trace_flow(work, "ends", how, passed);
   exchange.finish();
   ++(whole ? work.offer.answers->succeeded : work.offer.answers->given_up);
   if (whole && ends_by_close) reset_at_close(false);
   if (whole) return keep;
+  note_cut_answer(work, how, begun, last_piece, passed);
   ++node_.counters_.answers_cut;
   closing_ = Closing::answer_cut;
   resets_ = ends_by_close;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -36,6 +36,7 @@
   void reset_at_close(bool resets);
   std::chrono::milliseconds read_late() const;
   void note_late_reading(const Work& work);
+  static void note_cut_answer(const Work& work, std::string_view why, Moment begun, Moment last_piece, std::size_t bytes);
   static void trace_flow(const Work& work, std::string_view stage, std::string_view how, std::size_t bytes);
   bool invoke(const std::shared_ptr<Work>& work, Tenths arrived);
   bool end(const Work& work, const core::Step& step, bool keep);
