A long answer is kept to its request's limit and passed on only while it comes steadily

Cause: AnswerHold passed an answer on once it had been kept for 0.5 s and a piece had come a moment before. What is passed on can't be answered otherwise, so one that stopped after that was lost; at the limit, and after 1.7 s, the same (after 1.7 s even where it stood still). Change: an answer is kept until its limit, 1.7 s at most, and is passed on then only if it comes steadily: it has come for 0.25 s or more, its last quarter brought half of its mean pace or more, and its pause is no longer than usual. What stands still is never passed on, however long it was kept. Tests changed: "after half a second" became "at its limit, or after 1.7 s", "a stopped one is passed on after 1.7 s" became "is never passed on": both asked for the fault. Each section of before stays, five are new.

--- a/src/core/answer_hold.cpp
+++ b/src/core/answer_hold.cpp
@@ -6,9 +6,13 @@
 namespace troutstage::core {
 namespace {
 
-constexpr std::chrono::milliseconds kHold{500};
-// What has come may be kept for less than 2 s, whatever follows it.
+// What still comes may be kept back for less than 2 s.
 constexpr std::chrono::milliseconds kLongestHold{1700};
+// An answer's pace is known once it has come for so long. It is kept where the last part of that time, one of so many,
+// brought this share of its mean or more.
+constexpr std::chrono::milliseconds kPaceKnownAfter{250};
+constexpr int kTimeParts = 4;
+constexpr double kLeastOfPace = 0.5;
 // An answer goes on while its pause is not much longer than those before; within these bounds.
 constexpr int kGapsBorne = 2;
 constexpr std::chrono::milliseconds kLeastBorne{20}, kMostBorne{250};
@@ -20,6 +24,7 @@
   longest_gap_ = std::max(longest_gap_, now - last_piece_);
   last_piece_ = now;
   bytes_ += bytes;
+  pieces_.push_back({now, bytes});
 }
 
 bool AnswerHold::is_fast_enough(TimePoint now) const {
@@ -32,16 +37,29 @@
   return is_fast_enough(now) && now - last_piece_ <= pause;
 }
 
+std::size_t AnswerHold::bytes_since(TimePoint from) const {
+  std::size_t sum = 0;
+  for (auto piece = pieces_.rbegin(); piece != pieces_.rend() && piece->at >= from; ++piece) sum += piece->bytes;
+  return sum;
+}
+
+bool AnswerHold::keeps_its_pace(TimePoint now) const {
+  const auto since_begin = now - begun_;
+  if (since_begin < kPaceKnownAfter) return false;
+  const double usual = static_cast<double>(bytes_ - had_) / kTimeParts;
+  return static_cast<double>(bytes_since(now - since_begin / kTimeParts)) >= kLeastOfPace * usual;
+}
+
+bool AnswerHold::comes_steadily(TimePoint now) const { return goes_on(now) && keeps_its_pace(now); }
+
 AnswerHold::Verdict AnswerHold::at(TimePoint now) const {
-  if (now >= due_) return goes_on(now) ? Verdict::pass_on : Verdict::give_up;
-  if (now - begun_ >= kLongestHold) return is_fast_enough(now) ? Verdict::pass_on : Verdict::keep;
-  return now - begun_ >= kHold && goes_on(now) ? Verdict::pass_on : Verdict::keep;
+  if (now >= due_) return comes_steadily(now) ? Verdict::pass_on : Verdict::give_up;
+  return now - begun_ >= kLongestHold && comes_steadily(now) ? Verdict::pass_on : Verdict::keep;
 }
 
 AnswerHold::TimePoint AnswerHold::next_look(TimePoint now) const {
-  for (const TimePoint look : {begun_ + kHold, begun_ + kLongestHold})
-    if (now < look) return std::min(look, due_);
-  return due_;
+  const TimePoint look = begun_ + kLongestHold;
+  return now < look ? std::min(look, due_) : due_;
 }
 
 }  // namespace troutstage::core
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -107,8 +107,7 @@
   // Cut at the first pause of a quarter of a second, a slow backend's long answer was lost.
   in_->be_patient();
   const Moment begun = Moment::clock::now();
-  core::AnswerHold hold(begun, until);
-  hold.note(begun, answer_.body.size());
+  core::AnswerHold hold(begun, until, answer_.body.size());
   std::size_t room = kMostBody;
   while (!rest_.whole()) {
     if (answer_.body.size() + kLargestPiece > room) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -433,50 +433,83 @@
   }
 }
 
-TEST_CASE("a long answer goes on once it is likely to come whole, and not where its request can still be answered", "[core]") {
+TEST_CASE("a long answer is passed on at its limit or after its longest keeping, and only while it comes steadily", "[core]") {
   using std::chrono::milliseconds;
   using core::AnswerHold;
   const AnswerHold::TimePoint begun{};
   const auto at = [&](int ms) { return begun + milliseconds(ms); };
-  const auto comes = [&](AnswerHold& hold, int from, int to, std::size_t bytes) {
-    for (int ms = from; ms <= to; ms += 100) hold.note(at(ms), bytes);
+  const auto comes = [&](AnswerHold& hold, int from, int to, std::size_t bytes, int every = 100) {
+    for (int ms = from; ms <= to; ms += every) hold.note(at(ms), bytes);
   };
-  SECTION("it comes steadily: after half a second, or at the limit of its request") {
-    AnswerHold far(begun, at(3000)), near(begun, at(400));
-    comes(far, 0, 500, 10000);
-    CHECK(far.at(at(499)) == AnswerHold::Verdict::keep);
-    CHECK(far.at(at(500)) == AnswerHold::Verdict::pass_on);
-    comes(near, 0, 400, 10000);
+  constexpr std::size_t kHad = 30000;
+  SECTION("it comes steadily: at the limit of its request, or after 1.7 s") {
+    AnswerHold far(begun, at(3000), kHad), near(begun, at(400), kHad);
+    comes(far, 100, 1700, 10000);
+    CHECK(far.at(at(500)) == AnswerHold::Verdict::keep);
+    CHECK(far.at(at(1699)) == AnswerHold::Verdict::keep);
+    CHECK(far.at(at(1700)) == AnswerHold::Verdict::pass_on);
+    comes(near, 100, 400, 10000);
     CHECK(near.at(at(399)) == AnswerHold::Verdict::keep);
     CHECK(near.at(at(400)) == AnswerHold::Verdict::pass_on);
   }
+  SECTION("it came steadily for long and stopped shortly before its limit") {
+    AnswerHold hold(begun, at(700), kHad);
+    comes(hold, 20, 560, 5000, 20);
+    CHECK(hold.at(at(560)) == AnswerHold::Verdict::keep);
+    CHECK(hold.at(at(700)) == AnswerHold::Verdict::give_up);
+  }
+  SECTION("it came steadily for long and stopped before the longest keeping is over") {
+    AnswerHold hold(begun, at(9000), kHad);
+    comes(hold, 20, 1600, 5000, 20);
+    CHECK(hold.at(at(1700)) == AnswerHold::Verdict::keep);
+    CHECK(hold.at(at(8999)) == AnswerHold::Verdict::keep);
+    CHECK(hold.at(at(9000)) == AnswerHold::Verdict::give_up);
+  }
+  SECTION("it goes on after that: it is passed on once its pace is known again") {
+    AnswerHold hold(begun, at(9000), kHad);
+    comes(hold, 100, 1200, 10000);
+    CHECK(hold.at(at(1700)) == AnswerHold::Verdict::keep);
+    comes(hold, 1800, 2200, 10000);
+    CHECK(hold.at(at(2200)) == AnswerHold::Verdict::pass_on);
+  }
+  SECTION("it began a moment before its limit, so that nothing is known of its pace") {
+    AnswerHold hold(begun, at(90), kHad);
+    comes(hold, 10, 90, 15000, 10);
+    CHECK(hold.at(at(90)) == AnswerHold::Verdict::give_up);
+  }
+  SECTION("most of it came at once, and little since: its last piece is no sign that it comes whole") {
+    AnswerHold hold(begun, at(700), kHad);
+    hold.note(at(200), 110000);
+    hold.note(at(690), 5000);
+    CHECK(hold.at(at(700)) == AnswerHold::Verdict::give_up);
+  }
   SECTION("it stopped: at the limit its request is answered otherwise") {
-    AnswerHold hold(begun, at(1500));
+    AnswerHold hold(begun, at(1500), kHad);
     hold.note(at(10), 150000);
     CHECK(hold.at(at(1400)) == AnswerHold::Verdict::keep);
     CHECK(hold.at(at(1500)) == AnswerHold::Verdict::give_up);
   }
   SECTION("it stopped a moment before the limit: nothing came for longer than between its pieces") {
-    AnswerHold hold(begun, at(240));
+    AnswerHold hold(begun, at(240), kHad);
     for (int ms = 0; ms <= 5; ++ms) hold.note(at(ms), 30000);
     CHECK(hold.at(at(240)) == AnswerHold::Verdict::give_up);
   }
-  SECTION("it stopped, and its limit is far: what has come is kept for less than 2 s") {
-    AnswerHold hold(begun, at(9000));
+  SECTION("it stopped, and its limit is far: what stands still is not passed on, however long it was kept") {
+    AnswerHold hold(begun, at(9000), kHad);
     hold.note(at(10), 150000);
     CHECK(hold.at(at(1600)) == AnswerHold::Verdict::keep);
-    CHECK(hold.at(at(1700)) == AnswerHold::Verdict::pass_on);
+    CHECK(hold.at(at(1700)) == AnswerHold::Verdict::keep);
+    CHECK(hold.at(at(9000)) == AnswerHold::Verdict::give_up);
   }
   SECTION("it drips") {
-    AnswerHold hold(begun, at(3000));
+    AnswerHold hold(begun, at(3000), 0);
     comes(hold, 0, 3000, 20);
     CHECK(hold.at(at(2000)) == AnswerHold::Verdict::keep);
     CHECK(hold.at(at(3000)) == AnswerHold::Verdict::give_up);
   }
   SECTION("each moment at which that may change is told before") {
-    AnswerHold hold(begun, at(3000)), near(begun, at(1200));
-    CHECK(hold.next_look(at(5)) == at(500));
-    CHECK(hold.next_look(at(500)) == at(1700));
+    AnswerHold hold(begun, at(3000), kHad), near(begun, at(1200), kHad);
+    CHECK(hold.next_look(at(5)) == at(1700));
     CHECK(hold.next_look(at(1700)) == at(3000));
     CHECK(near.next_look(at(1000)) == at(1200));
   }
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -1,4 +1,6 @@
 // Real processes under injected faults, as docs/incidents/ tells of them.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "fault_fleet.h"
@@ -331,6 +333,52 @@
   }
 }
 
+// Guards against an answer that is passed on while it still comes and then stops: a 200, and no end by the client's limit.
+TEST_CASE("a long answer that comes steadily and stops before its request's limit leaves no request without its final answer", "[faults]") {
+  const int limit = GENERATE(700, 1000, 2000);
+  const bool in_chunks = GENERATE(false, true);
+  INFO(limit << " " << in_chunks);
+  constexpr std::size_t kPiece = 5000, kWhole = 900000;
+  const std::string piece(kPiece, 'x');
+  const std::string bytes = in_chunks ? fmt::format("{:x}\r\n{}\r\n", kPiece, piece) : piece;
+  const std::string head = "HTTP/1.1 200 OK\r\n" + (in_chunks ? std::string("Transfer-Encoding: chunked")
+                                                              : "Content-Length: " + std::to_string(kWhole)) + "\r\n\r\n";
+  FaultyNode node("", [&](const Server::Call& call) {
+    const Moment stops = soon(limit * 4 / 5);
+    write_all(call.fd, head, soon());
+    while (Moment::clock::now() < stops && !call.server.stopping() && write_all(call.fd, bytes, soon(100)) == Io::done)
+      std::this_thread::sleep_for(milliseconds(20));
+    return no_news(call);
+  });
+  REQUIRE(node.comes_up());
+  Visitor visitor(node.address());
+  visitor.send(request("view", "", limit));
+  const Moment sent = Moment::clock::now();
+  Response r;
+  REQUIRE(visitor.receive(r) == Got::whole);
+  CHECK(r.status == 503);
+  CHECK(Moment::clock::now() - sent <= milliseconds(limit) + kClientSlack);
+}
+
+// Guards against the opposite: what is slow and comes whole is served, though its client's limit has passed.
+TEST_CASE("a long answer that comes steadily past its request's limit is passed on whole", "[faults]") {
+  constexpr std::size_t kPiece = 1250, kPieces = 200;
+  constexpr int kLimit = 700;
+  FaultyNode node("", [&](const Server::Call& call) {
+    write_all(call.fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPiece * kPieces) + "\r\n\r\n", soon());
+    for (std::size_t i = 0; i < kPieces && write_all(call.fd, std::string(kPiece, 'x'), soon(100)) == Io::done; ++i)
+      std::this_thread::sleep_for(milliseconds(5));
+    return std::string();
+  });
+  REQUIRE(node.comes_up());
+  Visitor visitor(node.address());
+  visitor.send(request("view", "", kLimit));
+  Response r;
+  REQUIRE(visitor.receive(r, kPiece * kPieces) == Got::whole);
+  CHECK(r.status == 200);
+  CHECK(r.body.size() == kPiece * kPieces);
+}
+
 // By hand: TROUTSTAGE_SOAK names the plan's fields, such as "seconds=12,crowd=300,holds_up=1", and
 // TROUTSTAGE_SOAK_FAULTS the shim's rules.
 TEST_CASE("a soak of real processes by hand", "[.soak]") {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -377,7 +377,7 @@
   }
   explicit Visitor(const Node& node) : Visitor("127.0.0.1:" + std::to_string(node.port())) {}
   void send(const std::string& bytes) { REQUIRE(write_all(fd_.get(), bytes, soon()) == Io::done); }
-  Got receive(Response& r) { return read_response(in_, soon(), r); }
+  Got receive(Response& r, std::size_t most = kMostBody) { return read_response(in_, soon(), r, most); }
   bool tries(const std::string& bytes) {  // false: the connection ended
     Response r;
     const std::size_t half = bytes.size() / 2;
