A request that is not likely to be answered any more is answered 0.1 s before its limit

Cause: a request is worked on to its very limit, so whatever the process does not do then it does late. Change: AnswerOdds (src/policy) learns by workload how long answers take and how many attempts were never answered. At 0.1 s before the limit (a quarter of a shorter one at the most) a request whose attempts are not likely to be answered in what is left is answered; others are waited for. Where nothing is known none is likely; one of sixteen is waited for all the same, so that answers which take nearly as long as their clients wait are found. What is called back then counts as timed out. Late by a pause are still: requests that are likely to be answered, and the sixteenth.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -15,6 +15,9 @@
 
 using Json = nlohmann::json;
 
+// A process may stand still for 0.15 s, and clients wait some 0.06 s longer than they say.
+constexpr Tenths kPauseAllowance = 1000;
+
 // Nested JSON as the pairs that the one reader of settings takes: objects by dotted paths, lists of objects
 // by number beside their count, lists of plain values with commas.
 void flatten(const std::string& path, const Json& value, Pairs& into) {
@@ -77,6 +80,7 @@
     for (const auto& [key, value] : json.items())
       if (key != "known") flatten(key, value, c.given);
     c.settings = read_settings(pairs, json.contains("seed") ? read_seed(json.at("seed")) : own_seed(), c.names);
+    c.settings.pause_allowance = kPauseAllowance;
     if (const auto zone = pairs.find("zone"); zone != pairs.end()) c.zone = zone->second;
     if (c.settings.workloads.empty()) throw Malformed("settings name no workload");
     if (c.settings.may_probe)
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -17,6 +17,8 @@
 #include <random>
 #include <utility>
 
+#include "policy/answer_odds.h"
+
 namespace troutstage {
 namespace {
 
@@ -70,6 +72,7 @@
 constexpr std::size_t kLeastMembers = 4;  // two choices and two to spare
 constexpr double kSpread = 3.5;           // members for each invocation that is usually in flight
 constexpr double kLong = 3;               // a copy goes out after so many times what is usual
+constexpr Tenths kLeastPartKept = 4;      // one of so many parts of a short limit is the most that is kept back
 constexpr int kDraws = 12;                // candidates drawn before all are looked at
 
 // How hand-offs ended lately.
@@ -115,6 +118,7 @@
   bool new_connection = false;
   double told = -1;
   Ran ran = Ran::in_flight;
+  bool out_of_time = false;  // called back since its invocation's time was over
 };
 
 struct Invocation {
@@ -133,6 +137,7 @@
   std::array<Index, 2> pair{kNone, kNone};  // whose probes are waited for
   Tenths sound_until = 0;                   // how long; 0: not at all
   Tenths copy_at = 0;                       // when a second copy may go out; 0: not at all
+  Tenths hopeless_at = 0;                   // when it is answered unless its attempts are likely to be; 0: not at all
   std::uint32_t life = 0;                   // tells this use of the index from earlier ones
   std::vector<HandOff> hand_offs;
 };
@@ -150,6 +155,7 @@
     started_.set_span(kSecond / 10);
     for (Ring<8>* r : {&connected_, &refused_}) r->set_span(kSecond);
     by_workload_.resize(s.workloads.size());
+    odds_.resize(s.workloads.size());
     if (s.must_ask) ask(now);
   }
 
@@ -169,6 +175,7 @@
   void derive(const Settings& s) {
     max_hand_offs_ = s.max_hand_offs;
     second_copies_ = s.second_copies;
+    pause_allowance_ = s.pause_allowance;
     may_recall_ = s.may_recall;
     may_probe_ = s.may_probe;
     dear_links_ = s.may_probe && s.cross_zone_price > s.connect_price;
@@ -261,14 +268,19 @@
     v.work = v.hinted ? a.hint : usual_[a.workload];
     usual_work_[a.workload] += (v.work - usual_work_[a.workload]) / 64;
     at(v.valid_until - margin_, a.invocation);
+    set_hopeless_at(a.invocation);
     fill_members();
     if (!hand_off(a.invocation)) wait_or_answer(a.invocation);
   }
 
-  void on(const HandOffEnded& e) {
-    if (!known_hand_off(e.invocation, e.number)) return;
+  void on(const HandOffEnded& told) {
+    if (!known_hand_off(told.invocation, told.number)) return;
+    HandOffEnded e = told;
     Invocation& v = invocations_[e.invocation];
     HandOff& h = v.hand_offs[e.number];
+    learn_odds(v, e);
+    // Its backend had no less time than one that is waited for to the limit.
+    if (h.out_of_time && e.ending == Ending::recalled) e.ending = Ending::timed_out;
     Backend& b = backends_[h.backend];
     if (h.ran != Ran::in_flight) return;
     --b.out;
@@ -338,6 +350,7 @@
     carry(usual_, first_guess());
     carry(usual_work_, first_guess());
     carry(by_workload_, std::vector<Health>(workloads_.size()));
+    carry(odds_, std::vector<policy::AnswerOdds>(workloads_.size()));
     for (Backend& b : backends_) carry(b.by_workload, std::vector<Health>(workloads_.size()));
   }
 
@@ -487,6 +500,34 @@
     return std::min(1.0, cold_from_ + (1 - cold_from_) * age);
   }
 
+  // ---- the last moments before a limit
+
+  // The process may stand still as a limit comes due, and would answer late by as much. So an invocation whose attempts
+  // are not likely to be answered any more is answered before: they would be waited for in vain.
+  void set_hopeless_at(Index i) {
+    Invocation& v = invocations_[i];
+    const Tenths sooner = std::min(pause_allowance_, (v.valid_until - v.arrived) / kLeastPartKept);
+    if (sooner <= 0) return;
+    v.hopeless_at = v.valid_until - margin_ - sooner;
+    at(v.hopeless_at, i);
+  }
+  void answer_if_hopeless(Index i) {
+    Invocation& v = invocations_[i];
+    v.hopeless_at = 0;
+    const Tenths left = v.valid_until - margin_ - now_;
+    policy::AnswerOdds& odds = odds_[v.workload];
+    const bool hope = std::any_of(v.hand_offs.begin(), v.hand_offs.end(), [&](const HandOff& h) {
+      return h.ran == Ran::in_flight && odds.likely(now_, now_ - h.sent, left);
+    });
+    if (hope || odds.is_probe()) return;
+    for (HandOff& h : v.hand_offs) h.out_of_time = h.ran == Ran::in_flight;
+    answer(i);
+  }
+  void learn_odds(const Invocation& v, const HandOffEnded& e) {
+    if (e.ending == Ending::succeeded) odds_[v.workload].answered(now_, e.took);
+    if (e.ending == Ending::timed_out) odds_[v.workload].unanswered(now_, e.took);
+  }
+
   // ---- the choice
 
   // An irreversible invocation is hopeless once an answer is worth nothing: its client doesn't try again, so
@@ -926,6 +967,7 @@
       } else if (!over(d)) {
         const Invocation& v = invocations_[d.invocation];
         if (v.waiting || now_ + margin_ >= v.valid_until) answer(d.invocation);
+        else if (v.hopeless_at > 0 && v.hopeless_at <= now_) answer_if_hopeless(d.invocation);
         else if (v.sound_until > 0 && v.sound_until <= now_) settle(d.invocation);
         else if (v.copy_at > 0 && v.copy_at <= now_) copy(d.invocation);
       }
@@ -947,6 +989,7 @@
   int max_hand_offs_ = 1;  // this and the next: from the settings, by derive() alone
   bool second_copies_ = false, may_recall_ = false, may_probe_ = false, dear_links_ = false;
   double nodes_ = 1, first_limit_ = 0, least_limit_ = 0, cold_from_ = 1, cold_multiple_ = 0;
+  Tenths pause_allowance_ = 0;
   Tenths max_retry_in_ = 0;  // 0 where clients don't heed it
   Tenths warm_within_ = 0, ask_gap_ = 0, keepalive_ = 0, fresh_for_ = 0;
   std::vector<Workload> workloads_;  // by index; some may be those of invocations under way alone
@@ -971,6 +1014,7 @@
   Ring<8> connected_, refused_;  // new connections that came up lately, or didn't
   Health all_;                   // of all backends
   std::vector<Health> by_workload_;
+  std::vector<policy::AnswerOdds> odds_;  // by workload
   int total_out_ = 0;
   double room_ = 1e9;      // what a backend may hold for its size, learned from all answers together
   double pace_ = 0;        // what backends with a backlog get done for their size; 0: not told
--- a/src/decide.h
+++ b/src/decide.h
@@ -47,6 +47,7 @@
   double connect_price = 0;     // for each new connection
   Tenths max_retry_in = 0;
   Tenths tick = 10;
+  Tenths pause_allowance = 0;  // so long before its limit an invocation is answered whose attempts are not likely to be
   Tenths connect_timeout = 0;
   Tenths keepalive = 0;  // idle connections close after this
   Tenths drain_grace = 0;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,6 +8,7 @@
 #include "core/pauses.h"
 #include "core/stop_plan.h"
 #include "core/watch_pace.h"
+#include "policy/answer_odds.h"
 
 using namespace troutstage;
 using namespace troutstage::core;
@@ -25,14 +26,15 @@
 struct Facade {
   HandClock clock;
   Balancer balancer;
-  explicit Facade(Semantics semantics = Semantics::redoable, int backends = 3)
-      : balancer(settings(semantics), clock) {
+  explicit Facade(Semantics semantics = Semantics::redoable, int backends = 3, Tenths pause_allowance = 0)
+      : balancer(settings(semantics, pause_allowance), clock) {
     std::vector<ListEntry> list(static_cast<std::size_t>(backends));
     for (std::size_t i = 0; i < list.size(); ++i) list[i].backend = static_cast<Index>(i), list[i].zone = 0, list[i].cell = 1;
     balancer.told(ListForm::cached, list);
   }
-  static Settings settings(Semantics semantics) {
+  static Settings settings(Semantics semantics, Tenths pause_allowance = 0) {
     Settings s;
+    s.pause_allowance = pause_allowance;
     s.seed = 7;
     s.max_hand_offs = 3;
     s.may_recall = s.second_copies = true;
@@ -514,3 +516,78 @@
     CHECK(near.next_look(at(1000)) == at(1200));
   }
 }
+
+TEST_CASE("an attempt is likely to be answered where those that were out for as long were, lately", "[core]") {
+  constexpr Tenths kNow = 1000000, kAge = 400 * kMs, kMore = 100 * kMs;
+  policy::AnswerOdds odds;
+  SECTION("nothing is known: it is not") { CHECK_FALSE(odds.likely(kNow, kAge, kMore)); }
+  SECTION("all were answered long before that age") {
+    for (int i = 0; i < 1000; ++i) odds.answered(kNow, 20 * kMs);
+    CHECK_FALSE(odds.likely(kNow, kAge, kMore));
+    CHECK(odds.likely(kNow, 5 * kMs, kMore));
+  }
+  SECTION("some were answered at about that age, most of the others never") {
+    odds.answered(kNow, 420 * kMs);
+    CHECK(odds.likely(kNow, kAge, kMore));
+    for (int i = 0; i < 15; ++i) odds.unanswered(kNow, 500 * kMs);
+    CHECK(odds.likely(kNow, kAge, kMore));
+    for (int i = 0; i < 15; ++i) odds.unanswered(kNow, 500 * kMs);
+    CHECK_FALSE(odds.likely(kNow, kAge, kMore));
+  }
+  SECTION("they were answered, but only after its time") {
+    for (int i = 0; i < 100; ++i) odds.answered(kNow, 1200 * kMs);
+    CHECK_FALSE(odds.likely(kNow, kAge, kMore));
+  }
+  SECTION("that was long ago") {
+    odds.answered(kNow, 420 * kMs);
+    CHECK_FALSE(odds.likely(kNow + 60 * 1000 * kMs, kAge, kMore));
+  }
+  SECTION("the longest times have their place too") {
+    odds.answered(kNow, 100000 * kMs);
+    CHECK(odds.likely(kNow, 100000 * kMs, 1000000 * kMs));
+  }
+  SECTION("one of sixteen is waited for all the same") {
+    int probes = 0;
+    for (int i = 0; i < 160; ++i) probes += odds.is_probe();
+    CHECK(probes == 10);
+  }
+}
+
+// Guards against an error that comes late since the process stands still at a request's limit.
+TEST_CASE("an invocation whose attempts are not likely to be answered is answered some time before its limit", "[core]") {
+  constexpr int kLimit = 500, kAllowance = 100, kTick = 1;
+  const auto answered_after = [](Facade& f) {  // no attempt is ever answered
+    const Ticket ticket = f.take(kLimit);
+    int ms = 0;
+    while (!f.balancer.answered(ticket)) f.pass(1), ++ms;
+    return ms;
+  };
+  SECTION("nothing is known of its workload: 0.1 s before, but for one of sixteen") {
+    Facade f(Semantics::redoable, 3, kAllowance * kMs);
+    for (int i = 1; i < policy::AnswerOdds::kOneOf; ++i) CHECK(answered_after(f) == kLimit - kAllowance - kTick);
+    CHECK(answered_after(f) >= kLimit - 1);
+  }
+  SECTION("a short limit loses a quarter at the most") {
+    Facade f(Semantics::redoable, 3, kAllowance * kMs);
+    const Ticket ticket = f.take(100);
+    f.pass(75 - kTick - 1);
+    CHECK_FALSE(f.balancer.answered(ticket));
+    f.pass(1);
+    CHECK(f.balancer.answered(ticket));
+  }
+  SECTION("its workload's answers often take as long: it is waited for to its limit") {
+    Facade f(Semantics::redoable, 3, kAllowance * kMs);
+    for (int i = 0; i < 5; ++i) {
+      const Ticket ticket = f.take(1500);
+      const Step step = f.balancer.pick(ticket);
+      REQUIRE(step.what == Next::hand_off);
+      f.pass(420);
+      f.balancer.report(ticket, step.number, Ending::succeeded);
+    }
+    CHECK(answered_after(f) >= kLimit - 1);
+  }
+  SECTION("nothing is to be allowed for") {
+    Facade f;
+    CHECK(answered_after(f) >= kLimit - 1);
+  }
+}
