--- a/src/core/answer_hold.cpp
+++ b/src/core/answer_hold.cpp
@@ -8,10 +8,11 @@
 
 // What has come may be kept for less than 2 s, whatever follows it.
 constexpr std::chrono::milliseconds kLongestHold{1700};
-// One that is passed on at its limit goes so much earlier: at the limit itself its request is answered by a timer.
+// One that is passed on at its limit goes so much earlier: at the limit itself its request is answered by a
+// timer.
 constexpr std::chrono::milliseconds kBeforeLimit{10};
-// An answer's pace is known once it has come for so long. It is kept where the last part of that time, one of so many,
-// brought this share of its mean or more.
+// An answer's pace is known once it has come for so long. It is kept where the last part of that time, one of
+// so many, brought this share of its mean or more.
 constexpr std::chrono::milliseconds kPaceKnownAfter{250};
 constexpr int kTimeParts = 4;
 constexpr double kLeastOfPace = 0.5;
@@ -41,7 +42,8 @@
 
 std::size_t AnswerHold::bytes_since(TimePoint from) const {
   std::size_t sum = 0;
-  for (auto piece = pieces_.rbegin(); piece != pieces_.rend() && piece->at >= from; ++piece) sum += piece->bytes;
+  for (auto piece = pieces_.rbegin(); piece != pieces_.rend() && piece->at >= from; ++piece)
+    sum += piece->bytes;
   return sum;
 }
 
--- a/src/core/answer_hold.h
+++ b/src/core/answer_hold.h
@@ -1,8 +1,8 @@
 // Whether a long answer that has begun to come is still kept back from its client. Kept, another backend's
 // may take its place, or the request may be refused; passed on, only its own end is left.
 //
-// It is passed on before it is whole where its request's limit is about to come and it comes steadily, or where it was
-// kept for as long as is allowed.
+// It is passed on before it is whole where its request's limit is about to come and it comes steadily, or
+// where it was kept for as long as is allowed.
 //
 // How to call it: note() each piece; ask at() after each, and when next_look() has come. It does no I/O and
 // reads no clock.
--- a/src/policy/answer_odds.cpp
+++ b/src/policy/answer_odds.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 constexpr Tenths kMillisecond = 10, kSecond = 10000;
-constexpr double kHalfLife = 10;        // seconds
-constexpr double kNearAge = 0.75;       // attempts that came to this part of its age are like the one that is out
-constexpr float kLeastAnswers = 0.5F;   // one that has not faded by more than half
-constexpr float kLeastShare = 0.05F;    // of those, which is answered in time
+constexpr double kHalfLife = 10;   // seconds
+constexpr double kNearAge = 0.75;  // attempts that came to this part of its age are like the one that is out
+constexpr float kLeastAnswers = 0.5F;  // one that has not faded by more than half
+constexpr float kLeastShare = 0.05F;   // of those, which is answered in time
 
 }  // namespace
 
@@ -42,7 +42,8 @@
 
 bool AnswerOdds::likely(Tenths now, Tenths age, Tenths more) {
   fade(now);
-  const auto from = static_cast<std::ptrdiff_t>(bin_of(static_cast<Tenths>(kNearAge * static_cast<double>(age))));
+  const auto from =
+      static_cast<std::ptrdiff_t>(bin_of(static_cast<Tenths>(kNearAge * static_cast<double>(age))));
   const auto to = static_cast<std::ptrdiff_t>(bin_of(age + more)) + 1;
   const float in_time = std::accumulate(answered_.begin() + from, answered_.begin() + to, 0.0F);
   const float late = std::accumulate(answered_.begin() + to, answered_.end(), 0.0F);
--- a/src/policy/answer_odds.h
+++ b/src/policy/answer_odds.h
@@ -1,7 +1,7 @@
-// How likely an attempt that has been out for some time is still answered, by how the last ones of its workload
-// ended. Older ones count less and less.
+// How likely an attempt that has been out for some time is still answered, by how the last ones of its
+// workload ended. Older ones count less and less.
 //
-// How to call it: answered() or unanswered() for each attempt that ran to its end, worth_waiting() for one that is
+// How to call it: answered() or unanswered() for each attempt that ran to its end, likely() for one that is
 // out. It does no I/O and reads no clock. All times are in tenths of a millisecond.
 #pragma once
 
@@ -16,10 +16,11 @@
  public:
   void answered(Tenths now, Tenths took);
   void unanswered(Tenths now, Tenths waited);  // it was waited for to its end
-  // Whether an attempt that is `age` old is likely to be answered within `more`. Where nothing is known it is not.
+  // Whether an attempt that is `age` old is likely to be answered within `more`. Where nothing is known it is
+  // not.
   bool likely(Tenths now, Tenths age, Tenths more);
-  // The share of invocations that are waited for though no answer is likely: without them nothing would be learned of
-  // answers that take nearly as long as their clients wait.
+  // The share of invocations that are waited for though no answer is likely: without them nothing would be
+  // learned of answers that take nearly as long as their clients wait.
   static constexpr int kOneOf = 16;
   bool is_probe() { return ++unlikely_ % kOneOf == 0; }
 
