What is known of a workload's late answers is remembered for a minute, and one in fifty is hope

Cause, by reading: a node sees few requests of a workload in 10 s, so that after half of that nothing was known of late answers, and requests that would have been answered were given up 0.1 s early. Change: half is forgotten after 60 s, attempts of half the age count, a tenth of one answer is enough, and one in fifty.

--- a/src/policy/answer_odds.cpp
+++ b/src/policy/answer_odds.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 constexpr Tenths kMillisecond = 10, kSecond = 10000;
-constexpr double kHalfLife = 10;   // seconds
-constexpr double kNearAge = 0.75;  // attempts that came to this part of its age are like the one that is out
-constexpr float kLeastAnswers = 0.5F;  // one that has not faded by more than half
-constexpr float kLeastShare = 0.05F;   // of those, which is answered in time
+constexpr double kHalfLife = 60;  // seconds
+constexpr double kNearAge = 0.5;  // attempts that came to this part of its age are like the one that is out
+constexpr float kLeastAnswers = 0.1F;  // one that has not faded by more than half
+constexpr float kLeastShare = 0.02F;   // of those, which is answered in time
 
 }  // namespace
 
