Tests: a flag outlives the threads that wait for it, in the test of idle threads

Cause: the flag was declared after the threads, so it went first. It is declared before them now; their end is waited for first. No check changed.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -741,10 +741,10 @@
 
 TEST_CASE("the thread that was idle last gets the next job, so that those that are too many end", "[net]") {
   // Taken in turn, as many as were once busy at the same moment stayed for as long as anything came.
-  Threads threads(64);
   Flag go_on;
-  const Moment limit = soon(4000);
   std::atomic<int> begun{0};
+  Threads threads(64);  // ends before what its threads wait for
+  const Moment limit = soon(4000);
   for (int i = 0; i < 16; ++i) REQUIRE(threads.run([&] { ++begun, go_on.await(); }));
   while (begun < 16) std::this_thread::yield();
   go_on.set();
