--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -256,10 +256,12 @@
   }
   const std::string path_ = fresh();
 };
-// The program itself, serving a configuration. A listener may be passed to it as descriptor 4.
+// The program itself, serving a configuration. A listener may be passed to it as descriptor 4, and its log may go
+// to a descriptor of the test's.
 class Program {
  public:
-  Program(const File& file, std::vector<std::string> variables, int passed = -1, bool verbose = false) {
+  Program(const File& file, std::vector<std::string> variables, int passed = -1, bool verbose = false,
+          int log_fd = -1) {
     if (passed >= 0) variables.push_back("RELAY_PASSED_SOCKET=4");
     // It else sleeps for 1 s before the end of a process whose last threads have only just ended.
     variables.push_back("TSAN_OPTIONS=atexit_sleep_ms=0");
@@ -273,6 +275,7 @@
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
     if (passed >= 0) ::posix_spawn_file_actions_adddup2(&actions, passed, 4);
+    if (log_fd >= 0) ::posix_spawn_file_actions_adddup2(&actions, log_fd, 2);
     const int spawned = ::posix_spawn(&id_, name.c_str(), &actions, nullptr, arguments, environment.data());
     ::posix_spawn_file_actions_destroy(&actions);
     REQUIRE(spawned == 0);
