Log lines are queued and written by a thread of their own

Callers saw requests closed without an answer or with none at all, and stops that ended by the kill. Cause: the log was written by whoever logged, and write() waits for as long as the reader of a pipe stands still: the thread for signals at "stopping", the watching thread at held_up, each request's at left_at_limit. The library's asynchronous logger with a queue of 512 lines that drops the oldest; the count of the dropped ones is in /counters and, once the log is read again, a line of it. The end of the process waits 0.15 s for the queue.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,7 +1,8 @@
 #include "log/log.h"
 
+#include <spdlog/async_logger.h>
+#include <spdlog/details/thread_pool.h>
 #include <spdlog/logger.h>
-#include <spdlog/sinks/stdout_sinks.h>
 
 #include <algorithm>
 #include <atomic>
@@ -9,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "log/stderr_sink.h"
+
 namespace troutstage::log {
 namespace {
 
@@ -19,17 +22,30 @@
   return kLevels[static_cast<int>(level)];
 }
 
-// Made at the first line and never taken down: threads may log to the very end.
-spdlog::logger& logger() {
-  static spdlog::logger* const one = [] {
-    auto* made = new spdlog::logger("troutstage", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    made->set_level(spdlog::level::info);
-    made->set_pattern("%E.%e %l %v");
-    return made;
-  }();
+// Lines of the background's queue; each takes some 400 bytes.
+constexpr std::size_t kQueuedLines = 512;
+
+// Made at the first use and never taken down: threads may log to the very end.
+struct Output {
+  std::shared_ptr<StderrSink> sink = std::make_shared<StderrSink>();
+  spdlog::logger foreground{"troutstage", sink};
+  std::shared_ptr<spdlog::details::thread_pool> writer;
+  std::shared_ptr<spdlog::async_logger> background;
+  std::atomic<spdlog::logger*> in_use{&foreground};
+
+  Output() {
+    foreground.set_level(spdlog::level::info);
+    foreground.set_pattern("%E.%e %l %v");
+  }
+};
+
+Output& output() {
+  static Output* const one = new Output;
   return *one;
 }
 
+spdlog::logger& logger() { return *output().in_use.load(); }
+
 // Bytes that are no UTF-8 came from outside, and must not cost the line.
 std::string quoted(std::string_view text) {
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -49,6 +65,25 @@
   logger().set_pattern(format == Format::json ? R"({"time":%E.%e,"level":"%l",%v})" : "%E.%e %l %v");
 }
 
+void write_in_background() {
+  Output& out = output();
+  if (out.background) return;
+  out.writer = std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+  out.sink->tell_of_losses_in(*out.writer);
+  out.background = std::make_shared<spdlog::async_logger>("troutstage", out.sink, out.writer,
+                                                          spdlog::async_overflow_policy::overrun_oldest);
+  out.background->set_level(out.foreground.level());
+  out.in_use = out.background.get();
+}
+
+bool flush(std::chrono::milliseconds patience) {
+  const std::uint64_t before = output().sink->flushes();
+  logger().flush();
+  return output().sink->await_flush_after(before, patience);
+}
+
+std::uint64_t lines_dropped() { return output().sink->lines_lost(); }
+
 bool wanted(Level level) { return logger().should_log(its(level)); }
 
 void write(Level level, std::string_view text) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string_view>
@@ -19,6 +20,15 @@
 bool wanted(Level level);
 void write(Level level, std::string_view text);
 
+// From here on lines are queued and written by a thread of their own: whoever logs never waits for the reader of the
+// log. A full queue drops its oldest line. Call it once, before other threads log. Throws std::system_error where no
+// thread is to be had for the moment; it may be called again then.
+void write_in_background();
+// Waits until all queued lines are written, no longer than `patience`. False: some may not be.
+bool flush(std::chrono::milliseconds patience);
+// Lines that were dropped from the full queue or that could not be written, since the start.
+std::uint64_t lines_dropped();
+
 using Value = std::variant<std::int64_t, std::uint64_t, double, bool, std::string_view>;
 using Fields = std::initializer_list<std::pair<std::string_view, Value>>;
 // As text: the event's name, and name=value for each field.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cerrno>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <system_error>
 
 #include "config/config.h"
 #include "lab/command.h"
@@ -24,6 +26,7 @@
 using namespace troutstage;
 
 constexpr std::string_view kVersion = "0.3.0";
+constexpr std::chrono::milliseconds kLogPatience{150};  // at the end, for lines that are not written yet
 
 core::Stop stop_before_kill(const Settings& settings) {
   std::chrono::milliseconds longest{0};
@@ -114,6 +117,20 @@
   return got;
 }
 
+// Whoever serves must not wait for the reader of the log.
+void log_in_background() {
+  const auto starts = [] {
+    try {
+      log::write_in_background();
+      return true;
+    } catch (const std::system_error& failed) {
+      errno = failed.code().value() == EAGAIN ? ENOMEM : failed.code().value();
+      return false;
+    }
+  };
+  if (!net::persist("pthread_create", starts)) throw std::runtime_error("can't start the thread for the log");
+}
+
 int serve(const Config& config, const std::string& path, const sigset_t& signals) {
   // Few arenas: with one for each thread, memory would grow with the threads.
   ::mallopt(M_ARENA_MAX, 2);
@@ -210,6 +227,7 @@
   if (given.count("verbose")) log::set_least(log::Level::debug);
   if (command == "migrate") return migrate_file(given);
   const sigset_t signals = command == "serve" ? block_signals() : sigset_t{};
+  if (command == "serve") log_in_background();
   const Config config = load(given);
   for (const std::string& line : config.unused) log::warning("not followed: {}", line);
   if (command == "serve") return serve(config, config_path(given), signals);
@@ -221,10 +239,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  int code = 2;
   try {
-    return run(argc, argv);
+    code = run(argc, argv);
   } catch (const std::exception& wrong) {
     std::cerr << "troutstage: " << wrong.what() << std::endl;
-    return 2;
   }
+  log::flush(kLogPatience);
+  return code;
 }
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -93,6 +93,7 @@
   line("list_age_ms", list_age_ms());
   line("reloads", reloads.load());
   line("reloads_failed", reloads_failed.load());
+  line("log_lines_dropped", log::lines_dropped());
   return out;
 }
 
