A configuration is read anew in a thread of its own

Callers saw a forwarded request closed without an answer, at a stop that the node didn't follow. Cause: the thread that waits for signals read the file itself; a file that can't be read at once (a FIFO, a disk that stands still) held up every later signal, SIGTERM too, and the lock over the settings with it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -140,7 +140,7 @@
   if (!config.mgmt.empty()) door.emplace(net::parse_address(config.mgmt), desk);
   node.start();
   for (int got = next_signal(signals); got == SIGUSR1 || got == SIGHUP; got = next_signal(signals)) {
-    if (got == SIGHUP) node.reload(path);
+    if (got == SIGHUP) node.reload_in_background(path);
     else log::info("{}", node.counters_text());
   }
   node.stop(stop_before_kill(*node.settings()));
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -132,6 +132,7 @@
   start_thread("clients' ends", [this] { vigil_.run(); });
   start_thread("idle clients", [this] { lobby_.run(); });
   start_thread("housekeeping", [this] { housekeep(); });
+  start_thread("configuration", [this] { reload_as_read(); });
   if (peers_) start_thread("membership", [this] { peers_->run(); });
   accept_over_ = false;
   try {
@@ -349,12 +350,33 @@
   return terms;
 }
 
-// The file is read and checked whole before anything is touched. Work that is held and all that was learned
-// stay.
+void Node::reload_in_background(const std::string& path) { file_reader_.request(path); }
+
+void Node::reload_as_read() {
+  while (const auto read = file_reader_.next()) {
+    if (read->error.empty()) reload_from(read->text, read->path);
+    else keep_configuration(read->path, read->error);
+  }
+}
+
 void Node::reload(const std::string& path) {
+  try {
+    reload_from(read_file(path), path);
+  } catch (const std::exception& unreadable) {
+    keep_configuration(path, unreadable.what());
+  }
+}
+
+void Node::keep_configuration(const std::string& path, std::string_view why) {
+  ++counters_.reloads_failed;
+  log::error("configuration kept, '{}' can't be used: {}", path, why);
+}
+
+// The text is checked whole before anything is touched. Work that is held and all that was learned stay.
+void Node::reload_from(const std::string& text, const std::string& path) {
   try {
     std::lock_guard settles(settling_);
-    Config fresh = read_config(read_file(path));
+    Config fresh = read_config(text);
     check_complete(config_, fresh);
     const bool moves = fresh.discovery_in_file != config_.discovery_in_file;
     if (peers_) peers_->check(fresh.peers);
@@ -384,8 +406,7 @@
     log::info("configuration reloaded: {} workloads, {}", fresh.settings.workloads.size(),
               moves ? "discovery is now " + fresh.discovery : "no other discovery");
   } catch (const std::exception& unusable) {
-    ++counters_.reloads_failed;
-    log::error("configuration kept, '{}' can't be used: {}", path, unusable.what());
+    keep_configuration(path, unusable.what());
   }
 }
 
@@ -530,6 +551,7 @@
   if (peers_) peers_->stop();
   vigil_.stop();
   lobby_.stop();
+  file_reader_.stop();
   inner_.finish();
   log::info("stopped");
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -13,6 +13,7 @@
 #include "core/stop_plan.h"
 #include "net/counters.h"
 #include "net/directory.h"
+#include "net/file_reader.h"
 #include "net/lobby.h"
 #include "net/peers.h"
 #include "net/pool.h"
@@ -60,6 +61,8 @@
   // than the file named before wins over where that was known from. Where anything is wrong with the file,
   // nothing of it is taken.
   void reload(const std::string& path);
+  // The same without waiting for the file.
+  void reload_in_background(const std::string& path);
   int port() const;
   const Counters& counters() const { return counters_; }
 
@@ -92,6 +95,9 @@
   void heed_sibling();
   void share_with(int nodes);  // counts itself as one of so many from now on
   void go_by(std::shared_ptr<Settings> now);
+  void reload_as_read();
+  void reload_from(const std::string& text, const std::string& path);
+  void keep_configuration(const std::string& path, std::string_view why);
   void start_thread(std::string_view what, const std::function<void()>& job);
   void accept_all();
   void await_client();
@@ -124,6 +130,7 @@
   Pool pool_;
   Vigil vigil_;
   std::unique_ptr<Watch> watch_;
+  FileReader file_reader_;
   std::unique_ptr<Peers> peers_;  // where membership is on
   Fd listener_;
 
