Failing test: a backend that answers twice, its second copy late

Seen on the text before the fix (release build, real sockets): 15 of 60 answers belonged to another request where the second copy came 30, 100 or 200 ms after the first; none at 0, 5 and 22 ms with these pauses between requests.

--- /dev/null
+++ b/tests/reuse_test.cpp
@@ -0,0 +1,57 @@
+// When a connection to a backend carries a second request.
+#include "stand_in.h"
+
+using namespace stand_in;
+
+namespace {
+
+constexpr int kRequests = 60;
+
+// Answers each request with its id, and while `doubles` is set once more after a time.
+Server::Handler answers_twice(const std::atomic<bool>& doubles, milliseconds later) {
+  return [&doubles, later](const Server::Call& call) {
+    const std::string answer = ok(std::string(parse_head(call.head)->value("X-Txn")));
+    if (!doubles) return answer;
+    write_all(call.fd, answer, soon());
+    std::this_thread::sleep_for(later);
+    return answer;
+  };
+}
+
+// Requests one after another, at times that fall before and after a second copy; how many got another's answer.
+int answered_with_anothers(const Node& node, int requests) {
+  int anothers = 0, answered = 0;
+  Visitor visitor(node);
+  for (int i = 0; i < requests; ++i) {
+    const std::string bytes = request("view");
+    const Response r = visitor.ask(bytes);
+    if (r.status != 200) continue;
+    ++answered;
+    if (bytes.find("X-Txn: " + r.body + "\r\n") == bytes.npos) ++anothers;
+    std::this_thread::sleep_for(milliseconds(i % 4 * 9));
+  }
+  CHECK(answered >= requests / 2);
+  return anothers;
+}
+
+}  // namespace
+
+// Guards against a second copy of an answer that comes after a fixed pause and is given to the next request.
+TEST_CASE("a backend that answers twice never has its second copy taken for the answer to another request", "[net]") {
+  const milliseconds later(GENERATE(0, 5, 22, 30, 100, 200));
+  const bool from_the_start = GENERATE(true, false);
+  INFO(later.count() << " ms later, " << from_the_start);
+  std::atomic<bool> doubles{from_the_start};
+  Server backend(answers_twice(doubles, later)), other(answers_twice(doubles, later));
+  Fleet fleet({backend.address(), other.address()});
+  if (!from_the_start) {  // it has been quiet for long, and its connections are used again
+    const auto is_reused = [&] {
+      const int connections = backend.connections() + other.connections();
+      return answered_with_anothers(fleet.node, 4) == 0 && backend.connections() + other.connections() == connections;
+    };
+    const Moment limit = soon();
+    while (!is_reused() && Moment::clock::now() < limit) std::this_thread::sleep_for(milliseconds(300));
+    doubles = true;
+  }
+  CHECK(answered_with_anothers(fleet.node, kRequests) == 0);
+}
