A backend that answers twice: connections rest by what is known of it

Callers got the answer to another request, without any sign of it. Cause: a connection to a backend rested 20 ms after an answer and was then taken for clean. A second copy that comes later (delayed acknowledgement 40 ms, a retransmission 200 ms, a hold-up) was read as the answer to the next request. A thread that stood still between the look and the write looks again.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -12,9 +12,8 @@
 constexpr std::chrono::milliseconds kTellEvery{20};
 constexpr std::size_t kLargestPiece = 8 * 1024;   // that one read brings
 
-std::uint64_t number_of(const sockaddr_in& a) {
-  return (static_cast<std::uint64_t>(a.sin_addr.s_addr) << 16) | a.sin_port;
-}
+// A thread that stood still for longer than this looks at its connection again before it writes.
+constexpr std::chrono::milliseconds kLookHolds{1};
 
 }  // namespace
 
@@ -30,26 +29,39 @@
 
 Ended Exchange::over(const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins) {
   target_ = target;
-  connection_ = pool_.idle(target.life, number_of(target.address));
-  const bool open = connection_.has_value();
-  if (!open) {
-    auto fresh = pool_.fresh();
-    if (!fresh) return Ended::no_room;
-    connection_.emplace(std::move(*fresh));
+  for (;;) {
+    connection_ = pool_.idle(target.life, number_of(target.address));
+    const bool open = connection_.has_value();
+    const Moment looked_at = Moment::clock::now();
+    if (!open) {
+      auto fresh = pool_.fresh();
+      if (!fresh) return Ended::no_room;
+      connection_.emplace(std::move(*fresh));
+    }
+    if (const auto ended = talk(open, looked_at, request, target, until, flow, begins)) return *ended;
   }
-  return talk(open, request, target, until, flow, begins);
 }
 
 // Bytes beyond the answer belong to nothing that was asked for: such a connection is not used again.
 void Exchange::finish() {
-  if (connection_ && in_ && read_ && rest_.whole() && answer_.keep_alive && !in_->holds_bytes() &&
-      !shutter_.is_shut())
-    pool_.give_back(target_.life, number_of(target_.address), std::move(*connection_));
+  if (connection_ && in_ && read_ && rest_.whole() && answer_.keep_alive && !shutter_.is_shut()) {
+    const std::uint64_t address = number_of(target_.address);
+    if (in_->holds_bytes()) pool_.spoke_unasked(target_.life, address, {});
+    else pool_.give_back(target_.life, address, std::move(*connection_));
+  }
   connection_.reset();
   in_.reset();
 }
 
-Ended Exchange::talk(bool open, const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins) {
+// Whether an open connection still has nothing to read, right before a request goes out on it.
+bool Exchange::is_still_quiet(int fd, Moment looked_at) {
+  if (Moment::clock::now() - looked_at < kLookHolds) return true;
+  const Unread unread = look_at(fd);
+  if (unread == Unread::bytes) pool_.spoke_unasked(target_.life, number_of(target_.address), {});
+  return unread == Unread::none;
+}
+
+std::optional<Ended> Exchange::talk(bool open, Moment looked_at, const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins) {
   const int fd = connection_->fd();
   const Shutter::Hold hold(shutter_, fd);
   if (shutter_.is_shut()) return Ended::recalled_unsent;
@@ -70,6 +82,7 @@
   const std::string_view kept = request.body;
   const bool chunks = flow != nullptr && flow->rest->framing() == Framing::chunked;
   if (left <= 0 || shutter_.is_shut()) return Ended::cut_before_sent;
+  if (open && !is_still_quiet(fd, looked_at)) return std::nullopt;
   first_byte_ = Moment::clock::now();
   const Moment written_by = std::min(until, begins.by);
   if ((chunks ? write_all(fd, request_head(request, left) + body_piece(*flow->rest, kept), written_by)
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -55,7 +55,10 @@
 
  private:
   Ended over(const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins);
-  Ended talk(bool open, const Request& request, const Target& target, Moment until, Flow* flow, const Begins& begins);
+  // Nothing: the connection, found open at `looked_at`, can't be used any more, and no byte of the request went out.
+  std::optional<Ended> talk(bool open, Moment looked_at, const Request& request, const Target& target, Moment until,
+                            Flow* flow, const Begins& begins);
+  bool is_still_quiet(int fd, Moment looked_at);
   bool send_rest(int fd, Flow& flow, Moment until, const Begins& begins, Ended& ended);
   Ended read_answer(Moment until, const Begins& begins);
   Got read_long(Moment until, const Begins& begins);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -21,7 +21,6 @@
 constexpr std::chrono::milliseconds kAcceptAgain{1}, kAcceptShortage{10};  // before accepting again after a failure
 // A shortage that lasts for so many tries is not over in a moment: room is made, at last also by what has said nothing yet.
 constexpr int kShortagesBorne = 3, kShortagesBorneForNew = 12;
-constexpr std::chrono::milliseconds kSettle{20};  // what a backend sends beyond its answer comes sooner
 constexpr std::chrono::milliseconds kFarewell{500};  // for the other nodes to hear that this one leaves
 // The front hears of a drain within some tenths of a second and sends new connections until then: what is
 // idle is let go after that, and long before it would count as held.
@@ -99,7 +98,7 @@
       budget_(budgeted(config_), most_clients(config_), budgeted(config_) / 3 * 2,
               sibling_ ? sibling_->ledger() : alone_),
       bytes_(config_.memory_mb * 1024 * 1024 / 4, sibling_ ? sibling_->ledger() : alone_),
-      pool_(budget_, idle_limit(config_.settings.keepalive), kSettle), vigil_(balancer_),
+      pool_(budget_, idle_limit(config_.settings.keepalive), policy::ReuseRules{}), vigil_(balancer_),
       listener_(listener_of(config_)), reserve_(reserve(config_)),
       lobby_([this](const std::shared_ptr<Client>& client) { return work_for(client); }, most_waiting(config_),
              [this](std::chrono::milliseconds gap) {
@@ -488,7 +487,9 @@
   return peers_->json();
 }
 
-std::string Node::counters_text() const { return counters_.text() + (peers_ ? peers_->counters().text() : ""); }
+std::string Node::counters_text() const {
+  return counters_.text() + fmt::format("backends_spoke_unasked {}\n", pool_.unasked()) + (peers_ ? peers_->counters().text() : "");
+}
 
 Figures Node::figures() {
   Figures f;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -1,6 +1,7 @@
 // The connections to backends: how many there may be, and those that nothing uses.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -9,6 +10,7 @@
 
 #include "net/budget.h"
 #include "net/socket.h"
+#include "policy/connection_reuse.h"
 
 namespace troutstage::net {
 
@@ -32,29 +34,37 @@
     Fd fd_;
   };
 
-  // A connection rests for `settle` after an answer before its next use.
-  Pool(Budget& budget, std::chrono::steady_clock::duration idle_limit,
-       std::chrono::steady_clock::duration settle)
-      : budget_(budget), idle_limit_(idle_limit), settle_(settle) {}
+  Pool(Budget& budget, std::chrono::steady_clock::duration idle_limit, const policy::ReuseRules& rules);
 
   // By the life of a backend: what is gone can be found no more, whoever has its address or number now.
   std::optional<Connection> idle(std::uint64_t life, std::uint64_t address);  // one that is open and quiet
   std::optional<Connection> fresh();  // a socket not yet connected; nothing where no more may be had
   void give_back(std::uint64_t life, std::uint64_t address, Connection connection);
-  bool shed();    // closes the one that has been idle the longest; false: none is
-  void retire();  // closes what has been idle for too long
+  // Bytes came from this backend that belong to no request: what else rests there is closed.
+  void spoke_unasked(std::uint64_t life, std::uint64_t address, std::chrono::steady_clock::duration rested);
+  bool shed();  // closes the one that has been idle the longest; false: none is
+  // Closes what has been idle for too long, and looks once at what has rested for as long as it has to.
+  void retire();
   void retire(std::chrono::steady_clock::duration idle);  // for longer than that
+  std::uint64_t unasked() const { return unasked_; }  // how often a backend was seen to send what nobody asked for
 
  private:
   struct Idle {
     std::uint64_t address;
     Moment since;
     Connection connection;
+    bool was_looked_at = false;
   };
-  std::mutex lock_;
+  using ByLife = std::map<std::uint64_t, std::deque<Idle>>;  // the newest last
+  bool is_quiet(std::uint64_t life, const Idle& one);
+  void look_at_rested();
+
+  std::mutex lock_;  // never held while a connection is looked at or closed
   Budget& budget_;
-  const std::chrono::steady_clock::duration idle_limit_, settle_;
-  std::map<std::uint64_t, std::deque<Idle>> idle_;  // the newest last
+  const std::chrono::steady_clock::duration idle_limit_;
+  policy::ConnectionReuse reuse_;  // guarded by lock_
+  ByLife idle_;                    // the same
+  std::atomic<std::uint64_t> unasked_{0};
 };
 
 }  // namespace troutstage::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -94,6 +94,18 @@
   return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
+std::uint64_t number_of(const sockaddr_in& address) {
+  return (static_cast<std::uint64_t>(address.sin_addr.s_addr) << 16) | address.sin_port;
+}
+
+sockaddr_in address_of(std::uint64_t number) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = static_cast<in_addr_t>(number >> 16);
+  address.sin_port = static_cast<in_port_t>(number);
+  return address;
+}
+
 namespace {
 
 // What the system held back of an answer is lost where the connection is reset right after it.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -36,6 +36,8 @@
 
 sockaddr_in parse_address(std::string_view text);  // ADDRESS:PORT; throws Malformed
 std::string address_text(const sockaddr_in& address);
+std::uint64_t number_of(const sockaddr_in& address);  // of an address and its port, and back
+sockaddr_in address_of(std::uint64_t number);
 
 // Throws std::system_error. A shortage, and an address that a process which has just ended still holds, are
 // waited for.
--- /dev/null
+++ b/src/policy/connection_reuse.h
@@ -0,0 +1,51 @@
+// When a connection to a backend may carry another request. HTTP/1.1 has no mark that tells whose answer comes on it,
+// so a backend that answers twice would have its second copy taken for the answer to the next request.
+//
+// A connection rests after each answer. Backends about which little is known rest long; one that was seen to send what
+// nobody asked for gets its connections used once each for a while. It does no I/O and reads no clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+
+namespace troutstage::policy {
+
+struct ReuseRules {
+  using Span = std::chrono::steady_clock::duration;
+  // Longer than a delayed acknowledgement (40 ms), a hold-up of the backend (150 ms) and a first retransmission (200 ms).
+  Span rest = std::chrono::milliseconds(250);
+  Span first_rest = std::chrono::seconds(1);  // of a backend that has not proven quiet yet
+  int proofs = 3;                             // long rests without a byte after which a backend counts as quiet
+  Span distrust = std::chrono::seconds(30);
+};
+
+class ConnectionReuse {
+ public:
+  using Moment = std::chrono::steady_clock::time_point;
+  using Span = ReuseRules::Span;
+  // Names a backend for as long as it lives; never given again.
+  using Life = std::uint64_t;
+
+  explicit ConnectionReuse(const ReuseRules& rules) : rules_(rules) {}
+  // Nothing came on one of its connections that had rested for so long.
+  void was_quiet(Life backend, Span rested, Moment now);
+  // Bytes came that belong to no request of this node.
+  void spoke_unasked(Life backend, Moment now);
+  // False: its connections are to be closed after one answer.
+  bool is_kept(Life backend, Moment now) const;
+  // How long a connection has to rest after an answer.
+  Span rest(Life backend) const;
+  // Drops what was last noted before; a backend that comes back has to prove itself again.
+  void forget_before(Moment limit);
+
+ private:
+  struct Record {
+    int proofs = 0;
+    Moment distrusted_until, noted;
+  };
+  const ReuseRules rules_;
+  std::map<Life, Record> records_;
+};
+
+}  // namespace troutstage::policy
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -15,7 +15,7 @@
   Ledger ledger;
   Budget budget{4, 4, 4, ledger};
   Bytes bytes{16 << 20, ledger};
-  Pool pool{budget, std::chrono::seconds(9), milliseconds(0)};
+  Pool pool{budget, std::chrono::seconds(9), resting({})};
   std::shared_ptr<Exchange> exchange = fresh();
   std::shared_ptr<Exchange> fresh() { return std::make_shared<Exchange>(pool, counters, bytes, milliseconds(250)); }
   Ended run(const std::string& address, int ms = 10000, const std::string& body = "") {
@@ -193,7 +193,7 @@
 
   Ledger ledger;
   Budget budget(1, 1, 1, ledger);
-  Pool pool(budget, std::chrono::seconds(0), milliseconds(0));
+  Pool pool(budget, std::chrono::seconds(0), resting({}));
   {
     auto held = pool.fresh();
     REQUIRE(held);
@@ -213,7 +213,7 @@
   for (const auto settle : {std::chrono::seconds(0), std::chrono::seconds(5)}) {
     Ledger ledger;
     Budget budget(4, 4, 4, ledger);
-    Pool pool(budget, std::chrono::seconds(9), settle);
+    Pool pool(budget, std::chrono::seconds(9), resting(settle));
     auto connection = pool.fresh();
     REQUIRE(connection);
     REQUIRE(::dup2(here.get(), connection->fd()) >= 0);  // open and quiet
@@ -231,7 +231,7 @@
   });
   Ledger ledger;
   Budget budget(4, 4, 4, ledger);
-  Pool pool(budget, std::chrono::seconds(9), milliseconds(0));
+  Pool pool(budget, std::chrono::seconds(9), resting({}));
   auto connection = pool.fresh();
   REQUIRE(connection);
   REQUIRE(connect_to(connection->fd(), parse_address(backend.address()), soon()) == Io::done);
--- a/tests/reuse_test.cpp
+++ b/tests/reuse_test.cpp
@@ -1,4 +1,5 @@
 // When a connection to a backend carries a second request.
+#include "policy/connection_reuse.h"
 #include "stand_in.h"
 
 using namespace stand_in;
@@ -54,4 +55,35 @@
     doubles = true;
   }
   CHECK(answered_with_anothers(fleet.node, kRequests) == 0);
+  const auto is_found_out = [&] { return fleet.node.counters_text().find("backends_spoke_unasked 0\n") == std::string::npos; };
+  for (const Moment limit = soon(); !is_found_out() && Moment::clock::now() < limit;) std::this_thread::yield();
+  CHECK(is_found_out());
+}
+
+TEST_CASE("connections rest for long until their backend has proven quiet, and are not kept where it was not", "[core]") {
+  using policy::ConnectionReuse;
+  const policy::ReuseRules rules{milliseconds(100), milliseconds(1000), 2, milliseconds(5000)};
+  ConnectionReuse reuse(rules);
+  ConnectionReuse::Moment now{std::chrono::hours(1)};
+  CHECK(reuse.is_kept(7, now));
+  CHECK(reuse.rest(7) == rules.first_rest);
+  reuse.was_quiet(7, milliseconds(1000), now);
+  reuse.was_quiet(7, milliseconds(999), now);  // too short to prove anything
+  CHECK(reuse.rest(7) == rules.first_rest);
+  reuse.was_quiet(7, milliseconds(1500), now);
+  CHECK(reuse.rest(7) == rules.rest);
+  CHECK(reuse.rest(8) == rules.first_rest);  // another backend
+
+  reuse.spoke_unasked(7, now);
+  CHECK_FALSE(reuse.is_kept(7, now + rules.distrust - milliseconds(1)));
+  CHECK(reuse.is_kept(7, now + rules.distrust));
+  CHECK(reuse.rest(7) == rules.first_rest);  // it has to prove itself anew
+
+  now += rules.distrust;
+  reuse.was_quiet(7, milliseconds(1000), now);
+  reuse.was_quiet(7, milliseconds(1000), now);
+  reuse.forget_before(now);
+  CHECK(reuse.rest(7) == rules.rest);
+  reuse.forget_before(now + milliseconds(1));
+  CHECK(reuse.rest(7) == rules.first_rest);
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -54,6 +54,9 @@
   const std::shared_ptr<State> state_ = std::make_shared<State>();
 };
 
+// Connections to backends that may be used again after one and the same rest, whatever is known of the backend.
+inline policy::ReuseRules resting(std::chrono::steady_clock::duration rest) { return {rest, rest}; }
+
 // What handlers wrote down, in order. A stand-in's calls go on while a test reads of the earlier ones.
 template <typename T>
 class Notes {
