--- a/src/policy/connection_reuse.h
+++ b/src/policy/connection_reuse.h
@@ -15,7 +15,7 @@
   using Span = std::chrono::steady_clock::duration;
   // Longer than a delayed acknowledgement (40 ms), a hold-up of the backend (150 ms) and a first retransmission (200 ms).
   Span rest = std::chrono::milliseconds(250);
-  Span first_rest = std::chrono::seconds(1);  // of a backend that has not proven quiet yet
+  Span first_rest = std::chrono::milliseconds(500);  // of a backend that has not proven quiet yet
   int proofs = 3;                             // long rests without a byte after which a backend counts as quiet
   Span distrust = std::chrono::seconds(30);
 };
