Backends rest long only after they were seen to send what nobody asked for

Nothing is asked of a backend now that has done nothing; 250 ms for all, 1 s after a distrust until three rests brought nothing.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -16,8 +16,8 @@
 
 // Half of what a connection may be idle is left for its use.
 policy::ReuseRules within(policy::ReuseRules rules, std::chrono::steady_clock::duration idle_limit) {
-  rules.first_rest = std::min(rules.first_rest, idle_limit / 2);
-  rules.rest = std::min(rules.rest, rules.first_rest);
+  rules.long_rest = std::min(rules.long_rest, idle_limit / 2);
+  rules.rest = std::min(rules.rest, rules.long_rest);
   return rules;
 }
 
--- a/src/policy/connection_reuse.cpp
+++ b/src/policy/connection_reuse.cpp
@@ -3,10 +3,10 @@
 namespace troutstage::policy {
 
 void ConnectionReuse::was_quiet(Life backend, Span rested, Moment now) {
-  if (rested < rules_.first_rest) return;
-  Record& record = records_[backend];
-  record.noted = now;
-  if (record.proofs < rules_.proofs) ++record.proofs;
+  const auto record = records_.find(backend);
+  if (record == records_.end() || rested < rules_.long_rest) return;
+  record->second.noted = now;
+  if (record->second.proofs < rules_.proofs) ++record->second.proofs;
 }
 
 void ConnectionReuse::spoke_unasked(Life backend, Moment now) {
@@ -24,8 +24,8 @@
 
 ConnectionReuse::Span ConnectionReuse::rest(Life backend) const {
   const auto record = records_.find(backend);
-  const bool is_proven = record != records_.end() && record->second.proofs >= rules_.proofs;
-  return is_proven ? rules_.rest : rules_.first_rest;
+  const bool is_suspect = record != records_.end() && record->second.proofs < rules_.proofs;
+  return is_suspect ? rules_.long_rest : rules_.rest;
 }
 
 }  // namespace troutstage::policy
--- a/src/policy/connection_reuse.h
+++ b/src/policy/connection_reuse.h
@@ -1,8 +1,8 @@
 // When a connection to a backend may carry another request. HTTP/1.1 has no mark that tells whose answer comes on it,
 // so a backend that answers twice would have its second copy taken for the answer to the next request.
 //
-// A connection rests after each answer. Backends about which little is known rest long; one that was seen to send what
-// nobody asked for gets its connections used once each for a while. It does no I/O and reads no clock.
+// A connection rests after each answer. A backend that was seen to send what nobody asked for gets its connections used
+// once each for a while; after that they rest long until it has proven quiet. It does no I/O and reads no clock.
 #pragma once
 
 #include <chrono>
@@ -15,8 +15,8 @@
   using Span = std::chrono::steady_clock::duration;
   // Longer than a delayed acknowledgement (40 ms), a hold-up of the backend (150 ms) and a first retransmission (200 ms).
   Span rest = std::chrono::milliseconds(250);
-  Span first_rest = std::chrono::milliseconds(500);  // of a backend that has not proven quiet yet
-  int proofs = 3;                             // long rests without a byte after which a backend counts as quiet
+  Span long_rest = std::chrono::seconds(1);  // of a backend that was distrusted and has not proven quiet since
+  int proofs = 3;                            // long rests without a byte after which it counts as quiet
   Span distrust = std::chrono::seconds(30);
 };
 
@@ -36,7 +36,7 @@
   bool is_kept(Life backend, Moment now) const;
   // How long a connection has to rest after an answer.
   Span rest(Life backend) const;
-  // Drops what was last noted before; a backend that comes back has to prove itself again.
+  // Drops what was last noted before.
   void forget_before(Moment limit);
 
  private:
@@ -45,7 +45,7 @@
     Moment distrusted_until, noted;
   };
   const ReuseRules rules_;
-  std::map<Life, Record> records_;
+  std::map<Life, Record> records_;  // of those that spoke unasked
 };
 
 }  // namespace troutstage::policy
