--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr Tenths kTenthsPerMs = 10;
+constexpr std::chrono::milliseconds kSystemStep{15};  // the system's times are as exact as this
 constexpr std::chrono::milliseconds kReadLate{20};  // counted and logged from here on
 constexpr std::chrono::milliseconds kAboutLimit{100};  // a client that leaves so long before its limit, or later, is logged
 constexpr std::string_view kText = "text/plain";
@@ -58,6 +59,7 @@
   Moment arrived;                    // its last byte, as far as is known: its client's time runs from there
   Moment nothing_until, seen, read;  // the last look that found nothing of it, the first that found it, its reading
   bool by_system = false;            // what `arrived` is taken from; else from the looks at its connection
+  std::optional<std::chrono::milliseconds> told_ago;  // what the system said then: how long ago the last bytes came
   Moment client_limit;                     // until when its client waits for its answer
   core::Ticket ticket;
   int client_socket = -1;  // open until the answer is final; -1: its end can't be told from one made here
@@ -278,11 +280,10 @@
 
 // When the last byte came of what has just been read: by the system's word, where it gives one, else by the looks at the
 // connection. The clock is read before the system is asked, so that a pause in between makes no request younger.
-Moment Client::last_byte_came(bool& by_system) const {
+Client::LastByte Client::last_byte() const {
   const Moment now = Moment::clock::now();
   const auto since = since_last_bytes(fd_.get());
-  by_system = since.has_value();
-  return since ? now - *since : arrival_.arrival();
+  return {since ? now - *since : arrival_.arrival(), since.has_value(), since};
 }
 
 // Where less of a body is unread than its rest, the last byte has not come. A sender that is faster than its backend
@@ -297,16 +298,31 @@
 Got Client::take_piece(Work& work, std::string& piece) {
   note_rest_unsent(work.request.rest);
   const Got got = work.request.rest.next(in_, Moment::clock::now() + kPieceWithin, piece);
-  bool by_system = false;
-  if (work.request.rest.whole()) work.flow.last_byte = last_byte_came(by_system);
+  if (work.request.rest.whole()) work.flow.last_byte = last_byte().came;
   return got;
 }
 
-void Client::note_times(Work& work) const {
-  work.arrived = last_byte_came(work.by_system);
+void Client::note_times(Work& work) {
+  const LastByte last = last_byte();
+  work.arrived = last.came;
+  work.by_system = last.by_system;
+  work.told_ago = last.told_ago;
   work.nothing_until = arrival_.earliest();
   work.seen = arrival_.latest();
   work.read = Moment::clock::now();
+  ++(work.by_system ? node_.counters_.arrivals_by_system : node_.counters_.arrivals_by_looks);
+  if (!work.told_ago) return;
+  const Moment told = work.read - *work.told_ago;
+  if (told < work.nothing_until - kSystemStep || told > work.seen + kSystemStep) note_contradiction(work);
+}
+
+// The system's word does not fit what the looks at the connection found.
+void Client::note_contradiction(const Work& work) {
+  ++node_.counters_.system_times_contradicted;
+  log::event("system_time_contradicted", {{"transaction", std::string_view(work.request.transaction)}, {"told_ago_ms", std::int64_t{work.told_ago->count()}},
+                                          {"nothing_ago_ms", milliseconds_between(work.nothing_until, work.read)},
+                                          {"seen_ago_ms", milliseconds_between(work.seen, work.read)}},
+             log::Level::debug);
 }
 
 void Client::note_late_reading(const Work& work) {
@@ -327,6 +343,7 @@
                                {"limit_ms", work.request.remaining_ms}, {"left_ms", since_arrival(now)},
                                {"read_ms", since_arrival(work.read)}, {"seen_ms", since_arrival(work.seen)},
                                {"nothing_ms", since_arrival(work.nothing_until)}, {"accepted_ms", since_arrival(connected_)},
+                               {"told_ago_ms", work.told_ago ? std::int64_t{work.told_ago->count()} : std::int64_t{-1}},
                                {"by", work.by_system ? std::string_view("system") : std::string_view("looks")}});
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -37,8 +37,14 @@
   void note_rest_unsent(const Body& rest);
   Got take_piece(Work& work, std::string& piece);
   void reset_at_close(bool resets);
-  Moment last_byte_came(bool& by_system) const;
-  void note_times(Work& work) const;
+  struct LastByte {
+    Moment came;
+    bool by_system = false;  // what that is taken from; else from the looks at the connection
+    std::optional<std::chrono::milliseconds> told_ago;  // what the system said, whether or not it is used
+  };
+  LastByte last_byte() const;
+  void note_times(Work& work);
+  void note_contradiction(const Work& work);
   void note_leaving(const Work& work) const;
   void note_late_reading(const Work& work);
   static void note_cut_answer(const Work& work, std::string_view why, Moment begun, Moment last_piece, std::size_t bytes);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -85,6 +85,9 @@
   line("held_up", held_up.load());
   line("held_up_longest_ms", held_up_longest_ms.load());
   line("read_late", read_late.load());
+  line("arrivals_by_system", arrivals_by_system.load());
+  line("arrivals_by_looks", arrivals_by_looks.load());
+  line("system_times_contradicted", system_times_contradicted.load());
   line("left_at_limit", left_at_limit.load());
   line("shortages", shortages());
   line("watches", watches.load());
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -57,6 +57,8 @@
   Count broke_inside_threads{0};  // the node's own, begun again
   Count held_up{0}, held_up_longest_ms{0};  // times that the process stood still for 50 ms or longer
   Count read_late{0};  // requests that were read, as far as is known, 20 ms or longer after their last byte
+  Count arrivals_by_system{0}, arrivals_by_looks{0};  // requests, by what their arrival is taken from
+  Count system_times_contradicted{0};  // requests of whose last byte the system said what the looks at its connection exclude
   Count left_at_limit{0};  // clients that left unanswered within 0.1 s of their limit, or later
   Count watches{0}, watches_failed{0}, watches_silent{0};  // begun; ended by anything but an answer; of those, silent
   std::atomic<std::int64_t> list_at{-1};  // of the steady clock, in ms: when discovery last answered with a list; -1: never
