--- a/tests/faults/shim.cpp
+++ b/tests/faults/shim.cpp
@@ -3,25 +3,30 @@
 //
 // TROUTSTAGE_FAULTS holds rules separated by ';', each of them fields separated by ',':
 //   call=recv|peek|send|poll|ppoll|epoll_wait|epoll_ctl|accept4|socket|connect|ftruncate|pthread_create|cond_clockwait|
-//        tcp_info
+//        tcp_info|fionread|rdhup
 //   error=EINTR      the error that the call returns with; without it the call is made
 //   hold_ms=150      the calling thread stands still for so long first
 //   hold_after_ms=90 it does after the call, which found something: bytes, an event or a connection (recv,
 //                    ppoll, epoll_wait and accept4 alone)
+//   says=0           what the system tells: how long ago the last bytes came, in ms (tcp_info), how many bytes
+//                    are unread (fionread), or whether the other side has closed (rdhup: 0, poll() hides it)
 //   chance=0.05      of each such call, or
 //   nth=7            only of the seventh; times=3: and of the two after it
 //   while=PATH       only while that file exists
 //   every_ms=700,for_ms=120  only in a window of 120 ms, once in each 700 ms of the clock
 // TROUTSTAGE_FAULTS_SEED seeds the chances; TROUTSTAGE_FAULTS_LOG names a file that gets a line for each
 // fault, with its time, process and thread. "peek" is a recv() that leaves the bytes where they are, "recv"
-// any other; "tcp_info" is a getsockopt() for what the system knows of a connection.
+// any other; "tcp_info" is a getsockopt() for what the system knows of a connection, "fionread" an ioctl() for
+// the bytes that are unread, "rdhup" a poll() for the other side's close.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <stdarg.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -65,6 +70,7 @@
   std::string call, while_path;
   int error = 0;
   int hold_ms = 0, hold_after_ms = 0;
+  std::optional<int> says;
   int every_ms = 0, for_ms = 0;  // every_ms 0: at any time
   double chance = 1;
   std::uint64_t nth = 0, times = 1;  // nth 0: any
@@ -98,6 +104,7 @@
   else if (key == "error") rule.error = error_number(value);
   else if (key == "hold_ms") rule.hold_ms = std::atoi(value.c_str());
   else if (key == "hold_after_ms") rule.hold_after_ms = std::atoi(value.c_str());
+  else if (key == "says") rule.says = std::atoi(value.c_str());
   else if (key == "every_ms") rule.every_ms = std::atoi(value.c_str());
   else if (key == "for_ms") rule.for_ms = std::atoi(value.c_str());
   else if (key == "chance") rule.chance = std::atof(value.c_str());
@@ -173,7 +180,7 @@
   if (plan == nullptr) return false;
   const int before = errno;
   for (Rule& rule : plan->rules) {
-    if (rule.hold_after_ms > 0 || !applies(rule, call)) continue;
+    if (rule.hold_after_ms > 0 || rule.says || !applies(rule, call)) continue;
     note(rule, site);
     if (rule.hold_ms > 0) stand_still(rule.hold_ms);
     if (rule.error == 0) continue;
@@ -198,6 +205,20 @@
   return result;
 }
 
+// What the system is made to tell; nothing: what it does.
+std::optional<int> says(std::string_view call, const void* site) {
+  if (plan == nullptr) return std::nullopt;
+  const int error = errno;
+  std::optional<int> told;
+  for (Rule& rule : plan->rules) {
+    if (!rule.says || !applies(rule, call)) continue;
+    note(rule, site);
+    told = rule.says;
+  }
+  errno = error;
+  return told;
+}
+
 template <class Function>
 Function* next(const char* name) {
   return reinterpret_cast<Function*>(::dlsym(RTLD_NEXT, name));
@@ -221,7 +242,12 @@
 }
 int poll(pollfd* polled, nfds_t count, int timeout) {
   NEXT(poll);
-  return fails("poll", HERE) ? -1 : real(polled, count, timeout);
+  if (fails("poll", HERE)) return -1;
+  const int result = real(polled, count, timeout);
+  const bool asks_of_close = count == 1 && (polled->events & POLLRDHUP) != 0;
+  if (result <= 0 || !asks_of_close || says("rdhup", HERE) != 0) return result;
+  polled->revents = 0;
+  return 0;
 }
 int ppoll(pollfd* polled, nfds_t count, const timespec* timeout, const sigset_t* mask) {
   NEXT(ppoll);
@@ -242,7 +268,27 @@
 int getsockopt(int fd, int level, int name, void* value, socklen_t* size) noexcept {
   NEXT(getsockopt);
   const bool asks_of_connection = level == IPPROTO_TCP && name == TCP_INFO;
-  return asks_of_connection && fails("tcp_info", HERE) ? -1 : real(fd, level, name, value, size);
+  if (!asks_of_connection) return real(fd, level, name, value, size);
+  if (fails("tcp_info", HERE)) return -1;
+  const int result = real(fd, level, name, value, size);
+  const auto told = says("tcp_info", HERE);
+  if (result != 0 || !told) return result;
+  auto* info = static_cast<tcp_info*>(value);
+  info->tcpi_last_data_sent = info->tcpi_last_ack_sent = info->tcpi_last_ack_recv = 0;
+  info->tcpi_last_data_recv = static_cast<std::uint32_t>(*told);
+  return result;
+}
+int ioctl(int fd, unsigned long what, ...) noexcept {
+  va_list arguments;
+  va_start(arguments, what);
+  void* argument = va_arg(arguments, void*);
+  va_end(arguments);
+  NEXT(ioctl);
+  if (what != FIONREAD) return real(fd, what, argument);
+  if (fails("fionread", HERE)) return -1;
+  const int result = real(fd, what, argument);
+  if (const auto told = says("fionread", HERE); result == 0 && told) *static_cast<int*>(argument) = *told;
+  return result;
 }
 int socket(int domain, int type, int protocol) noexcept {
   NEXT(socket);
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -283,6 +283,45 @@
   CHECK(answered_after(visitor, sent) <= milliseconds(200) + kClientSlack);
 }
 
+// Guards against a word of the system, served in part or false, that makes a request as young as its reading.
+TEST_CASE("a request is answered by its client's limit whatever the system says of its last byte", "[faults]") {
+  constexpr int kLimit = 200;
+  constexpr milliseconds kWait{140};
+  const std::string standing = GENERATE(as<std::string>(), kSystemTellsInPart, "call=tcp_info,says=30");
+  const auto [fault, on_kept] = GENERATE(table<std::string, bool>({
+      {"", false},
+      {"", true},
+      {"call=accept4,error=ENFILE", false},
+      {"call=epoll_wait,hold_after_ms=140", true},
+      {"call=accept4,hold_after_ms=140", false},
+      {"call=recv,hold_after_ms=140", false},
+  }));
+  INFO(standing << " " << fault << " " << on_kept);
+  FaultyNode node(fault, no_news, false, standing);
+  REQUIRE(node.comes_up());
+  std::optional<Visitor> visitor;
+  if (on_kept) visitor.emplace(node.address()), visitor->ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(100));  // the connection rests
+  const bool is_stopped = fault.empty();
+  if (is_stopped) node.program().signal(SIGSTOP);
+  else node.turn_on(), std::this_thread::sleep_for(milliseconds(40));  // the calls that were under way are over
+  if (!visitor) visitor.emplace(node.address());
+  visitor->send(request("view", "x", kLimit));
+  const Moment sent = Moment::clock::now();
+  std::this_thread::sleep_until(sent + kWait);
+  if (is_stopped) node.program().signal(SIGCONT);
+  else node.turn_off();
+  CHECK(answered_after(*visitor, sent) <= milliseconds(kLimit) + kClientSlack);
+}
+
+// Guards against the opposite: a request that is turned away since the system says that it came long ago.
+TEST_CASE("a request that comes in time is served though the system says that it is old", "[faults]") {
+  FaultyNode node("", always(ok("done")), false, "call=tcp_info,says=100000");
+  REQUIRE(node.comes_up());
+  Visitor visitor(node.address());
+  for (int i = 0; i < 3; ++i) CHECK(visitor.ask(request("view", "x", 500)).status == 200);
+}
+
 // Guards against the opposite: the next request's time counted from the begin of the answer before it.
 TEST_CASE("a client that takes a long answer slowly and asks at once has its time", "[faults]") {
   constexpr std::size_t kSize = 900000;
--- a/tests/faulty_node.h
+++ b/tests/faulty_node.h
@@ -13,6 +13,8 @@
 inline constexpr milliseconds kClientSlack{60};         // a client waits for so much longer than it says
 inline constexpr const char* kSystemTellsNothing = "call=tcp_info,error=ENOPROTOOPT";  // of when a connection's bytes came
 
+inline constexpr const char* kSystemTellsInPart = "call=tcp_info,says=0";  // a round trip, and 0 for all times
+
 // Where a process's log goes, and whether it tells of single requests too.
 struct LogTo {
   int fd = -1;  // -1: the test's own standard error
