A request's age comes from the node's own looks; the system's word must fit them

What callers saw: safe requests got no answer by their limit, nor in the 60 ms that their clients wait more, where a backend hung and the request had waited before it was read. Cause: wherever TCP_INFO was served with a round trip, tcpi_last_data_recv alone was taken for the last byte, and the looks at the connection, which bound it, were not asked. Served in part, with 0 for the times, it makes each request as young as its reading. Why it works: the looks are the bounds, by construction. The system's word only chooses among the moments that they allow, and only after it told two known pauses on a connection of the node's own (net/system_times, 0.1 s at the start, in a thread of its own).

--- a/src/core/arrival_estimate.cpp
+++ b/src/core/arrival_estimate.cpp
@@ -17,6 +17,7 @@
 }
 
 void ArrivalEstimate::found_bytes(TimePoint now) {
+  last_found_ = std::max({last_found_, earliest_, now});
   if (has_bytes_) return;
   has_bytes_ = true;
   latest_ = std::max(earliest_, now);
@@ -27,4 +28,8 @@
   return has_bytes_ && latest_ - earliest_ <= kLongestGap ? latest_ : earliest_;
 }
 
+ArrivalEstimate::TimePoint ArrivalEstimate::arrival_as_told(TimePoint told) const {
+  return has_bytes_ ? std::clamp(told, earliest_, last_found_) : earliest_;
+}
+
 }  // namespace troutstage::core
--- a/src/core/arrival_estimate.h
+++ b/src/core/arrival_estimate.h
@@ -5,6 +5,8 @@
 //
 // How to call it: report each look with the time at which it ended, before the next one begins, from one thread at a
 // time. It does no I/O and reads no clock.
+//
+// What the system tells of the same is a claim, not a look: it chooses among the moments that the looks allow.
 #pragma once
 
 #include <chrono>
@@ -34,14 +36,19 @@
   // What was found came between these two.
   TimePoint earliest() const { return earliest_; }
   TimePoint latest() const { return latest_; }
+  // Bytes that belong to it may have come up to here.
+  TimePoint last_found() const { return last_found_; }
   // The latest where no more than kLongestGap lies between the two, else the earliest: a request counted as too old is
   // answered early, one counted as too young is answered after its client has gone.
   TimePoint arrival() const;
+  // The same where the system, which was seen to tell the truth, tells when the last byte came.
+  TimePoint arrival_as_told(TimePoint told) const;
 
  private:
   TimePoint earliest_;
   TimePoint last_look_;  // its end: the next one begins after it
   TimePoint latest_{};
+  TimePoint last_found_{};  // the end of the last look that found bytes
   bool has_bytes_ = false;
 };
 
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 
 #include "log/log.h"
+#include "net/system_times.h"
 
 namespace troutstage::net {
 namespace {
@@ -23,7 +24,6 @@
 constexpr std::chrono::milliseconds kAtOnce{2};  // a client that is answered and asks at once does it sooner
 constexpr std::size_t kMostThrownAway = 64 << 20;
 constexpr Tenths kTenthsPerMs = 10;
-constexpr std::chrono::milliseconds kSystemStep{15};  // the system's times are as exact as this
 constexpr std::chrono::milliseconds kReadLate{20};  // counted and logged from here on
 constexpr std::chrono::milliseconds kAboutLimit{100};  // a client that leaves so long before its limit, or later, is logged
 constexpr std::string_view kText = "text/plain";
@@ -278,12 +278,13 @@
              log::Level::debug);
 }
 
-// When the last byte came of what has just been read: by the system's word, where it gives one, else by the looks at the
-// connection. The clock is read before the system is asked, so that a pause in between makes no request younger.
+// When the last byte came of what has just been read: within what the looks at the connection allow, by the system's word
+// where that was seen to be true. The clock is read before the system is asked, so that a pause in between makes no request younger.
 Client::LastByte Client::last_byte() const {
   const Moment now = Moment::clock::now();
   const auto since = since_last_bytes(fd_.get());
-  return {since ? now - *since : arrival_.arrival(), since.has_value(), since};
+  const bool by_system = since && node_.trusts_system_times_;
+  return {by_system ? arrival_.arrival_as_told(now - *since) : arrival_.arrival(), by_system, since};
 }
 
 // Where less of a body is unread than its rest, the last byte has not come. A sender that is faster than its backend
@@ -313,7 +314,7 @@
   ++(work.by_system ? node_.counters_.arrivals_by_system : node_.counters_.arrivals_by_looks);
   if (!work.told_ago) return;
   const Moment told = work.read - *work.told_ago;
-  if (told < work.nothing_until - kSystemStep || told > work.seen + kSystemStep) note_contradiction(work);
+  if (told < work.nothing_until - kSystemTimesStep || told > arrival_.last_found() + kSystemTimesStep) note_contradiction(work);
 }
 
 // The system's word does not fit what the looks at the connection found.
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -9,6 +9,7 @@
 #include "log/log.h"
 #include "net/client.h"
 #include "net/protocol.h"
+#include "net/system_times.h"
 
 namespace troutstage::net {
 namespace {
@@ -104,7 +105,7 @@
              [this](std::chrono::milliseconds gap) {
                if (gap >= kHeldUp) counters_.was_held_up(gap);
              }),
-      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(8) {
+      workers_(2 * budgeted(config_)), clients_(2 * budgeted(config_)), inner_(9) {
   Listing known;
   if (!config_.known.empty()) known = directory_.read(config_.known);
   watch_ = std::make_unique<Watch>(balancer_, directory_, counters_, parse_address(config_.discovery),
@@ -140,6 +141,8 @@
     accept_over_ = true;
     throw;
   }
+  // Without a thread for it the looks at each connection alone tell.
+  if (system_offers_times()) inner_.run([this] { check_system_times(); });
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
 
@@ -162,6 +165,11 @@
   if (!persist("pthread_create", run)) throw std::runtime_error("can't start the thread for " + std::string(what));
 }
 
+void Node::check_system_times() {
+  trusts_system_times_ = system_times_are_true();
+  log::event("system_times", {{"trusted", std::string_view(trusts_system_times_ ? "yes" : "no")}});
+}
+
 int Node::port() const { return port_of(listener_.get()); }
 
 void Node::accept_all() {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -66,6 +66,13 @@
   return std::min(limit, now + core::ArrivalEstimate::kLookEvery);
 }
 
+std::optional<tcp_info> tcp_info_of(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  return info;
+}
+
 const sockaddr* plain(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
 }  // namespace
@@ -276,7 +283,7 @@
     // Looked at first: what is waited for is often there already, and a storm is made of such requests.
     const ssize_t n = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     if (n > 0) {
-      if (arrival != nullptr && !arrival->has_bytes()) arrival->found_bytes(Moment::clock::now());
+      if (arrival != nullptr) arrival->found_bytes(Moment::clock::now());
       into.append(bytes, static_cast<std::size_t>(n));
       return Io::done;
     }
@@ -342,13 +349,14 @@
 }
 
 std::optional<std::chrono::milliseconds> since_last_bytes(int fd) {
-  tcp_info info{};
-  socklen_t size = sizeof info;
+  const auto info = tcp_info_of(fd);
   // Where not even the round trip is known, nothing was measured.
-  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_rtt == 0) return std::nullopt;
-  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+  if (!info || info->tcpi_rtt == 0) return std::nullopt;
+  return std::chrono::milliseconds(info->tcpi_last_data_recv);
 }
 
+bool offers_tcp_info(int fd) { return tcp_info_of(fd).has_value(); }
+
 std::optional<std::size_t> unread_bytes(int fd) {
   int unread = 0;
   if (::ioctl(fd, FIONREAD, &unread) != 0 || unread < 0) return std::nullopt;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -81,8 +81,10 @@
 Unread look_at(int fd);
 // Reads some of that without looking at it; `late`: there was none, and the connection is open.
 Io throw_away(int fd, std::size_t& thrown);
-// How long ago the last bytes came, read or not; nothing where the system does not tell.
+// How long ago the last bytes came, read or not, as the system says; nothing where it does not. What it says may be
+// wrong: see net/system_times.h.
 std::optional<std::chrono::milliseconds> since_last_bytes(int fd);
+bool offers_tcp_info(int fd);  // whether the system serves what that is taken from, also before anything came
 // How many bytes have come on a connection and are unread, where the system tells that.
 std::optional<std::size_t> unread_bytes(int fd);
 bool still_quiet(int fd);      // surely open, and nothing has come: a connection that may be used again
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -510,6 +510,24 @@
     arrival.found_bytes(at(600));
     CHECK(arrival.arrival() == at(500));
   }
+  SECTION("what the system tells chooses among the moments that the looks allow, and no other") {
+    arrival.found_bytes(at(140));
+    CHECK(arrival.arrival_as_told(at(90)) == at(90));
+    CHECK(arrival.arrival_as_told(at(10)) == at(30));
+    CHECK(arrival.arrival_as_told(at(300)) == at(140));
+  }
+  SECTION("it may tell that the last piece of what was read without a pause came after the first") {
+    arrival.found_bytes(at(60));
+    arrival.found_bytes(at(200));
+    CHECK(arrival.arrival_as_told(at(190)) == at(190));
+    CHECK(arrival.arrival_as_told(at(250)) == at(200));
+  }
+  SECTION("it can't tell of a request of which nothing was found yet") {
+    arrival.found_bytes(at(60));
+    arrival.nothing_until(at(500));
+    CHECK(arrival.arrival_as_told(at(60)) == at(500));
+    CHECK(arrival.arrival_as_told(at(900)) == at(500));
+  }
   SECTION("a clock that was read before another thread's makes nothing younger") {
     arrival.found_bytes(at(25));
     CHECK(arrival.arrival() == at(30));
