A long answer is passed on before it is whole only where its request's limit is far

What callers saw: a 200 whose body never ended; the client left 60 ms after its limit with no whole answer. Cause: AnswerHold passed on at the limit, or after 1.7 s, what came steadily, since it might become whole a little later. What is passed on can't be taken back, and what is not whole at the limit comes too late in any case. Why it works: up to 3.5 s, beyond the longest usual deadline, nothing is passed on before it is whole; so nothing has to tell whether an answer will end, and the estimate of its pace is gone. Passed on at 1 MiB or where memory is full, as before: may still never end.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -118,7 +118,7 @@
   return true;
 }
 
-// Kept until it is whole, or is likely to become so: what has begun to go on to the client can't be taken back. Whole:
+// Kept until it is whole, or for as long as is allowed: what has begun to go on to the client can't be taken back. Whole:
 // it may go on from here.
 Got Exchange::read_long(Moment until, const Begins& begins) {
   // Cut at the first pause of a quarter of a second, a slow backend's long answer was lost.
@@ -136,7 +136,7 @@
     const Got got = rest_.next(*in_, hold.next_look(Moment::clock::now()), answer_.body);
     const Moment now = Moment::clock::now();
     if (got != Got::whole && got != Got::late) return got;
-    if (got == Got::whole) hold.note(now, answer_.body.size() - before);
+    if (got == Got::whole) hold.note(answer_.body.size() - before);
     if (got == Got::whole && begins.answer_comes && now - told >= kTellEvery) {
       told = now;
       begins.answer_comes();
