--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -31,6 +31,7 @@
   bool signals = false;       // SIGHUP, SIGUSR1 and further SIGTERM in series, also around a stop
   double hangs = 0.2;         // of the backends' requests
   double begins = 0;          // the same: a long answer begins, and stops in the middle
+  double endless = 0;         // the same: a long answer comes steadily and never ends
   double leaves = 0;          // of the clients: they close before their answer
   double slow = 0;            // of the clients: they write a request in pieces, over up to 0.4 s
   int time_limit_ms = 1000;   // the longest that the settings name
@@ -234,6 +235,12 @@
     }
   }
 
+  static std::string send_without_end(const Server::Call& call) {
+    write_all(call.fd, "HTTP/1.1 200 OK\r\n\r\n", soon(500));
+    while (!call.server.stopping() && write_all(call.fd, std::string(5000, 'x'), soon(500)) == Io::done)
+      std::this_thread::sleep_for(milliseconds(20));
+    return "";
+  }
   std::string backend(const Server::Call& call) {
     const auto head = parse_head(call.head);
     const std::string id(head->value("X-Txn"));
@@ -255,6 +262,7 @@
       write_all(call.fd, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + std::string(150000, 'x'), soon(500));
       return no_news(call);
     }
+    if (static_cast<double>(drawn / 1000000 % 1000) < plan_.endless * 1000) return send_without_end(call);
     std::this_thread::sleep_for(milliseconds(1 + drawn / 1000 % 40));
     return ok(id);
   }
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -605,6 +605,7 @@
     else if (key == "hold_at_stop") plan.hold_at_stop = value > 0;
     else if (key == "hangs") plan.hangs = value;
     else if (key == "begins") plan.begins = value;
+    else if (key == "endless") plan.endless = value;
     else if (key == "leaves") plan.leaves = value;
     else if (key == "slow") plan.slow = value;
     else if (key == "limit_ms") plan.time_limit_ms = static_cast<int>(value);
@@ -620,12 +621,13 @@
 
 TEST_CASE("a short soak of restarts, pauses, signals, long answers that stop and a crowd breaks no rule", "[faults]") {
   Plan plan;
-  plan.seed = GENERATE(as<std::uint64_t>(), 4101, 4102);
+  plan.seed = GENERATE(as<std::uint64_t>(), 4101, 4102, 4103);
   plan.length = milliseconds(10000);
   plan.clients = 8;
   plan.holds_up = plan.signals = true;
   plan.begins = 0.05;
   plan.leaves = 0.1;
   plan.crowd = plan.seed % 2 == 0 ? 150 : 0;
+  if (plan.seed == 4103) plan.endless = 0.05, plan.faults = kSystemTellsInPart + std::string(";call=recv,hold_after_ms=100,chance=0.01");
   check_soak(plan);
 }
