That nothing has come yet takes the word of two calls, not of one

What callers saw: a safe request that waited was answered 285 ms after its last byte, its limit 200 ms; its client had gone. Cause: one recv() or accept4() with EAGAIN was a look that found nothing, so the request counted from after it, though poll() said at the same time that something was there. Why it works: nothing is noted unless a second call, poll() with no wait, agrees; until then the request counts from an earlier look. One more call for each look that finds nothing; where both disagree the reader pauses, and no longer spins. epoll_wait that reports nothing of a ready connection is still believed alone.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -547,7 +547,7 @@
 void Client::note_rest_after(Moment write_begun) {
   const Moment now = Moment::clock::now();
   if (now - write_begun <= core::ArrivalEstimate::kLookEvery) return;
-  if (look_at(fd_.get()) == Unread::none) arrival_.nothing_until(now);
+  if (is_surely_empty(fd_.get())) arrival_.nothing_until(now);
 }
 
 bool Client::reply(int status, std::string_view text, bool keep_alive, std::string_view headers) {
--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -92,8 +92,8 @@
 void Lobby::look_unwatched(All::iterator at) {
   const Unread unread = look_at(at->second.client->fd());
   const Moment now = Moment::clock::now();
-  if (unread == Unread::none) at->second.client->arrival().found_nothing(now);
-  else if (unread != Unread::unknown) take_up(at, now);
+  if (unread == Unread::none && polls_as_empty(at->second.client->fd())) at->second.client->arrival().found_nothing(now);
+  else if (unread != Unread::none && unread != Unread::unknown) take_up(at, now);
 }
 
 void Lobby::serve_unserved() {
@@ -134,7 +134,7 @@
   const bool was_told_last = at->second.wait == Wait::end;
   const Unread unread = was_told_last ? Unread::none : look_at(fd);
   const bool seems_to_have_come = why == Closing::by_client && !was_told_last;
-  if (seems_to_have_come && unread == Unread::none) at->second.client->arrival().found_nothing(Moment::clock::now());
+  if (seems_to_have_come && unread == Unread::none && polls_as_empty(fd)) at->second.client->arrival().found_nothing(Moment::clock::now());
   if (seems_to_have_come ? unread == Unread::none : unread == Unread::unknown) return;
   if (unread == Unread::bytes) note_bytes(at->second, Moment::clock::now());
   const std::uint64_t id = at->first;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -198,7 +198,7 @@
     if (!last && !may_be_more_) await_client();
     const Moment begun = Moment::clock::now();
     Accepted one = accept_from(listener_.get());
-    if (one.what == Accept::none) queue_looks_.nothing_until(begun);
+    if (one.what == Accept::none && polls_as_empty(listener_.get())) queue_looks_.nothing_until(begun);
     if (!accepted(std::move(one), last)) break;
   }
   std::lock_guard held(lock_);
@@ -254,7 +254,7 @@
 core::ArrivalEstimate Node::first_arrival(int fd) const {
   core::ArrivalEstimate arrival(queue_looks_.earliest());
   const Moment now = Moment::clock::now();
-  if (look_at(fd) == Unread::none) arrival.nothing_until(now);
+  if (is_surely_empty(fd)) arrival.nothing_until(now);
   return arrival;
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -297,7 +297,13 @@
     }
     if (n == 0) return Io::ended;
     const int error = errno;
-    const bool looks_again = arrival != nullptr && classify(error) == Failure::not_ready;
+    const bool is_empty = classify(error) == Failure::not_ready;
+    if (is_empty && arrival != nullptr && !polls_as_empty(fd)) {
+      // It has come meanwhile, or one of the two calls is wrong: no look.
+      if (!backoff.pause()) return Io::late;
+      continue;
+    }
+    const bool looks_again = is_empty && arrival != nullptr;
     const Moment wait_until = looks_again ? note_nothing(*arrival, limit) : limit;
     const Io io = wait_after_failure("recv", error, fd, POLLIN, wait_until, backoff);
     if (io == Io::late && wait_until < limit) continue;
@@ -340,6 +346,13 @@
   return Unread::unknown;
 }
 
+bool polls_as_empty(int fd) {
+  pollfd p{fd, POLLIN, 0};
+  return ::poll(&p, 1, 0) == 0;
+}
+
+bool is_surely_empty(int fd) { return look_at(fd) == Unread::none && polls_as_empty(fd); }
+
 Io throw_away(int fd, std::size_t& thrown) {
   for (int tries = 0; tries < kMostInterruptions; ++tries) {
     // Truncated, the bytes are not even copied: what is sent in bulk costs little.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -79,6 +79,10 @@
 // What stands at the head of what nobody has read. A look that fails is no answer.
 enum class Unread { none, bytes, ended, broken, unknown };
 Unread look_at(int fd);
+// Whether nothing was there to read, or to accept, when this was called: what one call that found nothing says may be wrong,
+// so a second one is asked. Does not block; false also where that fails.
+bool polls_as_empty(int fd);
+bool is_surely_empty(int fd);  // look_at() and polls_as_empty() agree: nothing has come, and it is open
 // Reads some of that without looking at it; `late`: there was none, and the connection is open.
 Io throw_away(int fd, std::size_t& thrown);
 // How long ago the last bytes came, read or not, as the system says; nothing where it does not. What it says may be
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -314,6 +314,31 @@
   CHECK(answered_after(*visitor, sent) <= milliseconds(kLimit) + kClientSlack);
 }
 
+// Guards against one call's false word that nothing is there, which makes a request as young as the next reading.
+TEST_CASE("a request is answered by its client's limit though a call says that there is nothing to read yet", "[faults]") {
+  constexpr int kLimit = 200;
+  constexpr milliseconds kWait{140};
+  const auto [fault, on_kept] = GENERATE(table<std::string, bool>({{"call=recv,error=EAGAIN", false},
+                                                                   {"call=recv,error=EAGAIN", true},
+                                                                   {"call=accept4,error=EAGAIN", false},
+                                                                   {"call=accept4,error=ENFILE;call=peek,error=EAGAIN", false},
+                                                                   {"call=peek,error=EAGAIN", true}}));
+  INFO(fault << " " << on_kept);
+  FaultyNode node(fault, no_news, false, kSystemTellsNothing);
+  REQUIRE(node.comes_up());
+  std::optional<Visitor> visitor;
+  if (on_kept) visitor.emplace(node.address()), visitor->ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(100));  // the connection rests
+  node.turn_on();
+  std::this_thread::sleep_for(milliseconds(40));  // the calls that were under way are over
+  if (!visitor) visitor.emplace(node.address());
+  visitor->send(request("view", "x", kLimit));
+  const Moment sent = Moment::clock::now();
+  std::this_thread::sleep_until(sent + kWait);
+  node.turn_off();
+  CHECK(answered_after(*visitor, sent) <= milliseconds(kLimit) + kClientSlack);
+}
+
 // Guards against the opposite: a request that is turned away since the system says that it came long ago.
 TEST_CASE("a request that comes in time is served though the system says that it is old", "[faults]") {
   FaultyNode node("", always(ok("done")), false, "call=tcp_info,says=100000");
