--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -159,7 +159,7 @@
   Fd listener_;
   std::atomic<bool> stop_{false};
   std::atomic<int> calls_{0}, connections_{0};
-  Threads threads_{512};
+  Threads threads_{2048};  // one for each connection, of which one stand-in may have as many as a test has servers
 };
 
 inline std::string ok(const std::string& body) {
