A monitor that reports nothing is no look where its descriptor polls as ready

What callers saw: a request on a resting connection was answered 288 ms after its last byte, its limit 200 ms. Cause: Lobby::run took one epoll_wait() that returns 0 for a look at all resting connections. Why it works: where it reports nothing, poll() is asked of the monitor's own descriptor; a contradiction is no look.

--- a/src/net/lobby.cpp
+++ b/src/net/lobby.cpp
@@ -51,8 +51,9 @@
       if (id != 0) look(id, now);
       else take_note(wake_);
     }
-    // One that failed, or had no room for all, says nothing of those that it does not name.
-    if (n >= 0 && n < static_cast<int>(kMostEvents)) note_look(now);
+    // One that failed, or had no room for all, says nothing of those that it does not name; nor does one that found nothing
+    // where a second call does.
+    if (n >= 0 && n < static_cast<int>(kMostEvents) && !(n == 0 && polls_as_ready(poll_.get()))) note_look(now);
     if (any_unwatched_) watch_unwatched();
     if (any_unserved_) serve_unserved();
     if (now >= next_look) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -351,6 +351,11 @@
   return ::poll(&p, 1, 0) == 0;
 }
 
+bool polls_as_ready(int fd) {
+  pollfd p{fd, POLLIN, 0};
+  return ::poll(&p, 1, 0) > 0 && (p.revents & POLLIN) != 0;
+}
+
 bool is_surely_empty(int fd) { return look_at(fd) == Unread::none && polls_as_empty(fd); }
 
 Io throw_away(int fd, std::size_t& thrown) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -82,6 +82,7 @@
 // Whether nothing was there to read, or to accept, when this was called: what one call that found nothing says may be wrong,
 // so a second one is asked. Does not block; false also where that fails.
 bool polls_as_empty(int fd);
+bool polls_as_ready(int fd);   // the opposite, with the same caution: false where the call fails
 bool is_surely_empty(int fd);  // look_at() and polls_as_empty() agree: nothing has come, and it is open
 // Reads some of that without looking at it; `late`: there was none, and the connection is open.
 Io throw_away(int fd, std::size_t& thrown);
--- a/tests/faults/shim.cpp
+++ b/tests/faults/shim.cpp
@@ -9,7 +9,8 @@
 //   hold_after_ms=90 it does after the call, which found something: bytes, an event or a connection (recv,
 //                    ppoll, epoll_wait and accept4 alone)
 //   says=0           what the system tells: how long ago the last bytes came, in ms (tcp_info), how many bytes
-//                    are unread (fionread), or whether the other side has closed (rdhup: 0, poll() hides it)
+//                    are unread (fionread), whether the other side has closed (rdhup: 0, poll() hides it), or that
+//                    nothing is there (epoll_wait: 0)
 //   chance=0.05      of each such call, or
 //   nth=7            only of the seventh; times=3: and of the two after it
 //   while=PATH       only while that file exists
@@ -255,7 +256,11 @@
 }
 int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
   NEXT(epoll_wait);
-  return fails("epoll_wait", HERE) ? -1 : found("epoll_wait", real(fd, events, most, timeout), HERE);
+  if (fails("epoll_wait", HERE)) return -1;
+  const int result = real(fd, events, most, timeout);
+  if (result <= 0 || says("epoll_wait", HERE) != 0) return found("epoll_wait", result, HERE);
+  stand_still(5);  // its caller asks again at once
+  return 0;
 }
 int epoll_ctl(int fd, int what, int of, epoll_event* event) noexcept {
   NEXT(epoll_ctl);
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -322,7 +322,8 @@
                                                                    {"call=recv,error=EAGAIN", true},
                                                                    {"call=accept4,error=EAGAIN", false},
                                                                    {"call=accept4,error=ENFILE;call=peek,error=EAGAIN", false},
-                                                                   {"call=peek,error=EAGAIN", true}}));
+                                                                   {"call=peek,error=EAGAIN", true},
+                                                                   {"call=epoll_wait,says=0", true}}));
   INFO(fault << " " << on_kept);
   FaultyNode node(fault, no_news, false, kSystemTellsNothing);
   REQUIRE(node.comes_up());
