--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -283,6 +283,7 @@
 Client::LastByte Client::last_byte() const {
   const Moment now = Moment::clock::now();
   const auto since = since_last_bytes(fd_.get());
+  if (since) node_.system_offers_times();
   const bool by_system = since && node_.trusts_system_times_;
   return {by_system ? arrival_.arrival_as_told(now - *since) : arrival_.arrival(), by_system, since};
 }
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -87,6 +87,7 @@
   line("read_late", read_late.load());
   line("arrivals_by_system", arrivals_by_system.load());
   line("arrivals_by_looks", arrivals_by_looks.load());
+  line("system_times_checks", system_times_checks.load());
   line("system_times_contradicted", system_times_contradicted.load());
   line("left_at_limit", left_at_limit.load());
   line("shortages", shortages());
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -58,6 +58,7 @@
   Count held_up{0}, held_up_longest_ms{0};  // times that the process stood still for 50 ms or longer
   Count read_late{0};  // requests that were read, as far as is known, 20 ms or longer after their last byte
   Count arrivals_by_system{0}, arrivals_by_looks{0};  // requests, by what their arrival is taken from
+  Count system_times_checks{0};  // of whether the system's word on them is true: one, once a client's connection offers it
   Count system_times_contradicted{0};  // requests of whose last byte the system said what the looks at its connection exclude
   Count left_at_limit{0};  // clients that left unanswered within 0.1 s of their limit, or later
   Count watches{0}, watches_failed{0}, watches_silent{0};  // begun; ended by anything but an answer; of those, silent
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -141,8 +141,6 @@
     accept_over_ = true;
     throw;
   }
-  // Without a thread for it the looks at each connection alone tell.
-  if (system_offers_times()) inner_.run([this] { check_system_times(); });
   log::info("{} listens on {}, discovery {}", config_.name, config_.listen, config_.discovery);
 }
 
@@ -165,6 +163,13 @@
   if (!persist("pthread_create", run)) throw std::runtime_error("can't start the thread for " + std::string(what));
 }
 
+// Without a thread for it the looks at each connection alone tell, until the next request.
+void Node::system_offers_times() {
+  if (system_times_asked_.exchange(true)) return;
+  ++counters_.system_times_checks;
+  if (!inner_.run([this] { check_system_times(); })) system_times_asked_ = false;
+}
+
 void Node::check_system_times() {
   trusts_system_times_ = system_times_are_true();
   log::event("system_times", {{"trusted", std::string_view(trusts_system_times_ ? "yes" : "no")}});
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -99,6 +99,7 @@
   void reload_from(const std::string& text, const std::string& path);
   void keep_configuration(const std::string& path, std::string_view why);
   void start_thread(std::string_view what, const std::function<void()>& job);
+  void system_offers_times();  // of a client's connection: they are checked, once
   void check_system_times();
   void accept_all();
   void await_client();
@@ -149,7 +150,7 @@
   int accept_shortages_ = 0;          // in a row; the accepting thread's own, as the next two
   bool may_be_more_ = false;          // to accept: one was, and the queue has not been found empty since
   core::ArrivalEstimate queue_looks_{begun_};
-  std::atomic<bool> trusts_system_times_{false};  // they were seen to be true
+  std::atomic<bool> system_times_asked_{false}, trusts_system_times_{false};  // to be checked; they were seen to be true
   std::atomic<std::uint64_t> connections_{0};  // clients', numbered for the log
   Moment drained_since_;              // guarded by lock_
   std::atomic<std::size_t> came_back_{0};  // clients' connections that were used more than once
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -67,13 +67,6 @@
   return std::min(limit, now + core::ArrivalEstimate::kLookEvery);
 }
 
-std::optional<tcp_info> tcp_info_of(int fd) {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
-  return info;
-}
-
 // Whether more is unread than `told`, which is less than kMostPeeked; also where that can't be found out.
 bool has_more_than(int fd, std::size_t told) {
   char bytes[kMostPeeked];
@@ -375,14 +368,13 @@
 }
 
 std::optional<std::chrono::milliseconds> since_last_bytes(int fd) {
-  const auto info = tcp_info_of(fd);
+  tcp_info info{};
+  socklen_t size = sizeof info;
   // Where not even the round trip is known, nothing was measured.
-  if (!info || info->tcpi_rtt == 0) return std::nullopt;
-  return std::chrono::milliseconds(info->tcpi_last_data_recv);
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_rtt == 0) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
-bool offers_tcp_info(int fd) { return tcp_info_of(fd).has_value(); }
-
 std::optional<std::size_t> unread_bytes(int fd) {
   int told = 0;
   if (::ioctl(fd, FIONREAD, &told) != 0 || told < 0) return std::nullopt;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -89,7 +89,6 @@
 // How long ago the last bytes came, read or not, as the system says; nothing where it does not. What it says may be
 // wrong: see net/system_times.h.
 std::optional<std::chrono::milliseconds> since_last_bytes(int fd);
-bool offers_tcp_info(int fd);  // whether the system serves what that is taken from, also before anything came
 // How many bytes have come on a connection and are unread; nothing where the system does not tell, or tells of fewer than
 // are seen to be there.
 std::optional<std::size_t> unread_bytes(int fd);
--- a/src/net/system_times.cpp
+++ b/src/net/system_times.cpp
@@ -51,11 +51,6 @@
 
 }  // namespace
 
-bool system_offers_times() {
-  const Fd fd = new_socket();
-  return fd && offers_tcp_info(fd.get());
-}
-
 bool system_times_are_true() {
   try {
     const Connection connection = connect_to_itself();
--- a/src/net/system_times.h
+++ b/src/net/system_times.h
@@ -11,8 +11,6 @@
 // The system's times are as exact as this; one of its ticks is up to 10 ms long.
 inline constexpr std::chrono::milliseconds kSystemTimesStep{15};
 
-// Whether the system offers a connection's times at all. Does not block.
-bool system_offers_times();
 // Checks them on a connection over loopback. Blocks for about 0.1 s, for 1 s at most; false also where that connection can't
 // be made. Throws nothing.
 bool system_times_are_true();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -945,3 +945,13 @@
   CHECK(visitor.word() == "HTTP/1.1 100 Continue\r\n\r\n");
   CHECK(visitor.ask("x").body == "done");
 }
+
+// Guards against a check at the start of each node, where clients' connections may never offer what it is about.
+TEST_CASE("the system's times are checked once, and only when a client's connection offers them", "[net]") {
+  Server backend(always(ok("done")));
+  Fleet fleet({backend.address()});
+  CHECK(fleet.node.counters().system_times_checks == 0);
+  Visitor visitor(fleet.node);
+  for (int i = 0; i < 3; ++i) REQUIRE(visitor.ask(request("view")).status == 200);
+  CHECK(fleet.node.counters().system_times_checks == 1);
+}
