--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/play.py"
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -66,6 +66,11 @@
         return self.exactly(int(headers.get("content-length", "0")))
 
 
+def long_answer(txn, size):
+    line = f"{txn} and so on\n".encode()
+    return (line * (size // len(line) + 1))[:size]
+
+
 # ---- a backend: a process of its own, so that it can be stopped and continued
 
 def backend(port, log_path, work_ms):
@@ -95,7 +100,12 @@
                      sum=digest, key=headers.get("idempotency-key"), began=round(began, 4))
                 time.sleep(work_ms / 1000)
                 text = f"{headers.get('x-txn')} {len(body)} {digest}\n".encode()
+                wanted = re.search(r"size=(\d+)", target)
+                if wanted:   # a long answer: the same line again and again
+                    text = long_answer(headers.get("x-txn"), int(wanted.group(1)))
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+                if wanted:
+                    note(what="gave its whole answer", txn=headers.get("x-txn"), size=len(text))
         except (Closed, OSError, ValueError) as ended:
             if first:
                 # A request whose end never came; and whether its body holds the head of another client's request.
