--- a/review/1/play.py
+++ b/review/1/play.py
@@ -25,7 +25,7 @@
         {"name": "review-log", "semantics": "once", "due-time": 500000, "time-limit": 1000000, "billing-value": 2.0}]}
 BACKENDS, NODES = 6, 4
 STANDS_STILL_S = 10.0   # one backend of six, 9 to 23 s
-UPLOADS, UPLOAD_BYTES, UPLOAD_LIMIT_S = 6, 8 << 20, 1.0   # bodies of up to 32 MB occur
+UPLOADS_KB, UPLOAD_LIMIT_S = [3844, 3846, 3848, 3852, 3860, 8192], 1.0   # bodies of up to 32 MB occur
 CLIENTS = 10
 ROUNDS = 3             # until one breaks the rule: what freed memory holds is chance
 SLACK_S = 0.55          # up to half a second after its time an answer only earns nothing; sockets: 50 ms more
@@ -33,7 +33,7 @@
 
 def play_round(record, folder):
     fleet = standins.Fleet(case.ROOT, folder, SETTINGS, BACKENDS, NODES)
-    breaks, lock, over = [], threading.Lock(), threading.Event()
+    breaks, lock, over, sums = [], threading.Lock(), threading.Event(), {}
 
     def broken(text):
         with lock:
@@ -49,9 +49,10 @@
             record("SIGSTOP to backend s-0")
         began = time.time()
 
-        def upload(node, n):
+        def upload(node, kb):
             """Sends a long request at once, waits for its limit and half a second, then leaves, as clients do."""
-            txn, body = f"upload-{node.name}-{n}", os.urandom(UPLOAD_BYTES)
+            txn, body = f"upload-{node.name}-{kb}k", os.urandom(1024) * kb
+            sums[txn] = hashlib.sha1(body).hexdigest()
             record("send", txn, "POST /review-log", len(body), "bytes, sum", hashlib.sha1(body).hexdigest())
             try:
                 with socket.create_connection(node.listen, 2) as sock:
@@ -111,7 +112,7 @@
                     time.sleep(0.2)
                 over.wait(chance.uniform(0.1, 0.4))
 
-        uploads = [threading.Thread(target=upload, args=(node, n), daemon=True) for node in fleet.nodes for n in range(UPLOADS)]
+        uploads = [threading.Thread(target=upload, args=(node, kb), daemon=True) for node in fleet.nodes for kb in UPLOADS_KB]
         for one in uploads:
             one.start()
         time.sleep(2.5)   # all uploading clients are gone
@@ -138,6 +139,8 @@
             one.join(3)
         sent_to = [line for line in fleet.ran() if line["what"] == "ran"]
         for line in sent_to:
+            if line["txn"] in sums and line["sum"] != sums[line["txn"]]:
+                breaks.insert(0, f"nobody sent this: {line['txn']} ran at {line['backend']} with a body that its client did not send")
             record("ran at", line["backend"], line["txn"], line["target"], line["size"], "bytes, sum", line["sum"])
         for line in fleet.ran():
             if line["what"] == "broken":
