A long request is answered by its client's limit though its backend reads nothing

Cause: the limit of a streamed body was the client's only once its last byte had been read, and the node reads as fast as the backend takes the body. A blocked write had a limit for the slowest client, over a minute away, and nothing looked at the client meanwhile. What had not arrived counted as unwritten, though the buffer of the client's machine may hold it.

Evidence: a trace line at each write on the code as it was: five writes blocked for 10 s, limits 62 to 82 s away, the client's 1,480 ms, last byte not known, 0.1 to 1.4 MB left.

Fix: core/upload_estimate bounds when the last byte was written, by the bytes that have arrived, the largest send buffer and an empty socket. The client's limit counts from the last moment at which the byte was surely unwritten; it is renewed by looks while the node connects, writes the head and waits to write a piece. What was not written whole has not run, so it is answered 503.

Tests: "a long request written whole is answered by its client's limit though its backend reads little or nothing" had no answer within 10 s before (0 bytes a ms, by length and in chunks, cancel both ways).

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -33,6 +33,8 @@
 // Bytes that a client may send after its last answer before the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
 constexpr TenthsOfMs kTenthsPerMs = 10;
+// A request whose body is streamed is answered this long before the client's time limit.
+constexpr std::chrono::milliseconds kAnswerMargin{20};
 // A request that is read this long after its last byte arrived, or later, is counted and logged.
 constexpr std::chrono::milliseconds kLateReadThreshold{20};
 // A client that disconnects this long before its time limit, or later, is counted and logged.
@@ -68,8 +70,8 @@
   const std::shared_ptr<const RequestConfig> request_config;
   WorkloadEntry workload_entry;
   Request request;
-  // The part of the request's body that is streamed to the backend; used if has_streaming_body.
-  StreamedBody streamed_body;
+  // The part of the request's body that is streamed to the backend; set if has_streaming_body.
+  std::optional<StreamedBody> streamed_body;
   // The body is longer than what is buffered, so the rest of it is streamed to the backend.
   bool has_streaming_body = false;
   std::optional<OpenTransactions::ScopedTransaction> transaction;
@@ -287,11 +289,8 @@
         request.remaining_body.framing() == Framing::length ? request.remaining_body.left() : kMaxBodyBytes);
     invocation.valid_until += (remaining_bytes / kMinBytesPerMs + kBodyPieceTimeout.count()) * kTenthsPerMs;
     invocation.has_streaming_body = true;
-    context->streamed_body.remaining_body = &context->request.remaining_body;
-    context->streamed_body.remaining_ms = request.remaining_ms - 20;
-    context->streamed_body.next = [this, captured = context.get()](std::string& piece) {
-      return next_body_piece(*captured, piece);
-    };
+    context->streamed_body.emplace(fd_.get(), reader_, arrival_, context->request.remaining_body,
+                                   std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin);
   }
   invocation.hint = request.hint_micros / 100;
   invocation.is_client_retry = request.is_client_retry;
@@ -358,25 +357,6 @@
           is_by_system_time, since};
 }
 
-// If fewer bytes are unread than the rest of the body has, its last byte has not arrived yet. Without this, a
-// client that sends faster than the backend reads leaves unread bytes at every check, and all of the body
-// would count as arrived with its first byte.
-void ClientConnection::note_rest_unsent(const Body& remaining_body) {
-  const TimePoint now = TimePoint::clock::now();
-  const auto unread = unread_byte_count(fd_.get());
-  if (unread && *unread + reader_.buffered_bytes() < remaining_body.left()) arrival_.no_bytes_until(now);
-}
-
-// Reads the next piece of a streamed body. The client's time limit counts from the arrival of the last byte,
-// whenever that byte is sent to the backend.
-ReadResult ClientConnection::next_body_piece(InvocationContext& context, std::string& piece) {
-  note_rest_unsent(context.request.remaining_body);
-  const ReadResult read_result =
-      context.request.remaining_body.next(reader_, TimePoint::clock::now() + kBodyPieceTimeout, piece);
-  if (context.request.remaining_body.whole()) context.streamed_body.last_byte_at = last_byte().arrived_at;
-  return read_result;
-}
-
 // Notes when the request arrived and when it was read, and compares the system's time with the checks of the
 // socket.
 void ClientConnection::note_times(InvocationContext& context) {
@@ -600,9 +580,10 @@
   core::Balancer::HandOffDetails details;
   // The time that the client took to send its body says nothing about the backend.
   if (context.has_streaming_body) {
-    const auto since = TimePoint::clock::now() - context.streamed_body.sent_at;
-    details.is_body_consumed = context.streamed_body.is_partly_consumed;
-    details.elapsed = context.streamed_body.sent_at == TimePoint()
+    const StreamedBody& body = *context.streamed_body;
+    const auto since = TimePoint::clock::now() - body.sent_at();
+    details.is_body_consumed = body.is_partly_consumed();
+    details.elapsed = body.sent_at() == TimePoint()
                           ? 0
                           : std::chrono::duration_cast<std::chrono::microseconds>(since).count() / 100;
   }
@@ -666,7 +647,7 @@
       ExchangeResult result = ExchangeResult::cut_after_sent;
       try {
         result = exchange->run(context->request, *target, until,
-                               context->has_streaming_body ? &context->streamed_body : nullptr, conditions);
+                               context->has_streaming_body ? &*context->streamed_body : nullptr, conditions);
       } catch (const std::exception& failure) {
         log::error("exchange: {}", failure.what());
       }
@@ -685,8 +666,8 @@
   const auto deadline = [] { return TimePoint::clock::now() + kWriteTimeout; };
   const TimePoint now = TimePoint::clock::now();
   arrival_.no_bytes_until(now);
-  IoResult io =
-      write_head_and_body(fd_.get(), std::move(head), body.substr(0, kMaxWriteBytes), now + kWriteTimeout);
+  IoResult io = write_head_and_body(fd_.get(), std::move(head), body.substr(0, kMaxWriteBytes),
+                                    [now](std::size_t) { return now + kWriteTimeout; });
   for (std::size_t offset = kMaxWriteBytes; io == IoResult::done && offset < body.size();
        offset += kMaxWriteBytes)
     io = write_all(fd_.get(), body.substr(offset, kMaxWriteBytes), deadline());
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -14,7 +14,7 @@
 // Used by one thread at a time: by the thread that serves a request or, while no thread serves the
 // connection, by IdleConnections under its lock. The static functions for hand-offs also run on other
 // threads; they use only the node and the InvocationContext.
-// If hand-offs can't be cancelled, next_body_piece() runs on the thread of the hand-off.
+// If hand-offs can't be cancelled, a streamed body is read on the thread of the hand-off.
 class ClientConnection {
  public:
   ClientConnection(Node& node, Fd fd, bool is_within_budget, const core::ArrivalEstimate& arrival);
@@ -49,8 +49,6 @@
   bool answer(const std::shared_ptr<InvocationContext>& context, TenthsOfMs arrived);
   bool forward_answer(const InvocationContext& context, Exchange& exchange, bool keep_open);
   ReadResult next_answer_piece(const InvocationContext& context, Exchange& exchange, std::string& piece);
-  void note_rest_unsent(const Body& remaining_body);
-  ReadResult next_body_piece(InvocationContext& context, std::string& piece);
   void set_reset_on_close(bool is_enabled);
   // When the last byte of a request arrived.
   struct LastByte {
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -17,6 +17,10 @@
 // before the request is written.
 constexpr std::chrono::milliseconds kCheckValidFor{1};
 
+// A backend that accepts no byte of a streamed body for this long, and for longer than the client waits for
+// its answer, is given up.
+constexpr std::chrono::milliseconds kMaxBackendPause{2000};
+
 }  // namespace
 
 ExchangeResult Exchange::run(const Request& request, const Target& target, TimePoint deadline,
@@ -82,12 +86,15 @@
   const SocketInterrupter::Attachment attachment(interrupter_, fd);
   if (interrupter_.is_interrupted()) return ExchangeResult::recalled_unsent;
   if (!is_reused) {
+    const TimePoint answer_by = streamed != nullptr ? streamed->answer_deadline() : deadline;
     const TimePoint connect_by =
-        std::min({deadline, conditions.send_by, TimePoint::clock::now() + connect_timeout_});
+        std::min({deadline, answer_by, conditions.send_by, TimePoint::clock::now() + connect_timeout_});
     const IoResult connect_result = connect_to(fd, target.address, connect_by);
     if (connect_result == IoResult::resource_shortage) return ExchangeResult::no_room;
+    const bool is_too_late =
+        connect_by == conditions.send_by || (streamed != nullptr && connect_by == answer_by);
     if (connect_result != IoResult::done)
-      return connect_by == conditions.send_by ? ExchangeResult::withdrawn : ExchangeResult::not_connected;
+      return is_too_late ? ExchangeResult::withdrawn : ExchangeResult::not_connected;
     ++counters_.connections_opened;
   }
   // Since the balancer chose the backend, waiting for a thread and a connection may have taken longer than a
@@ -95,19 +102,22 @@
   if (!conditions.is_met()) return ExchangeResult::withdrawn;
   const auto remaining_ms =
       streamed != nullptr
-          ? streamed->remaining_ms
+          ? streamed->answer_time().count()
           : std::chrono::duration_cast<std::chrono::milliseconds>(deadline - TimePoint::clock::now()).count();
   // Before its last byte is written a request has not been executed; after that it may have been. This class
   // never sends a request twice.
   const std::string_view buffered_body = request.body;
-  const bool is_chunked = streamed != nullptr && streamed->remaining_body->framing() == Framing::chunked;
+  const bool is_chunked = streamed != nullptr && streamed->remaining_body().framing() == Framing::chunked;
   if (remaining_ms <= 0 || interrupter_.is_interrupted()) return ExchangeResult::cut_before_sent;
   if (is_reused && !is_still_reusable(fd, checked_at)) return std::nullopt;
   first_byte_at_ = TimePoint::clock::now();
-  const TimePoint written_by = std::min(deadline, conditions.send_by);
+  const WriteLimit written_by = [&](std::size_t) {
+    const TimePoint answer_by = streamed != nullptr ? streamed->answer_deadline() : deadline;
+    return std::min({deadline, answer_by, conditions.send_by});
+  };
   if ((is_chunked ? write_all(fd,
                               format_request_head(request, remaining_ms) +
-                                  frame_body_piece(*streamed->remaining_body, buffered_body),
+                                  frame_body_piece(streamed->remaining_body(), buffered_body),
                               written_by)
                   : write_head_and_body(fd, format_request_head(request, remaining_ms), buffered_body,
                                         written_by)) != IoResult::done)
@@ -126,29 +136,42 @@
 // `result`.
 bool Exchange::send_streamed_body(int fd, StreamedBody& streamed, TimePoint deadline,
                                   const SendConditions& conditions, ExchangeResult& result) {
-  for (std::string piece; !streamed.remaining_body->whole(); piece.clear()) {
-    streamed.is_partly_consumed = true;
+  for (std::string piece; !streamed.remaining_body().whole(); piece.clear()) {
     if (streamed.next(piece) != ReadResult::whole) return result = ExchangeResult::source_broke, false;
-    if (streamed.remaining_body->whole()) deadline = std::min(deadline, streamed.answer_deadline());
     // The client's time is over before the backend has the whole request, so the backend has not started on
     // it.
-    if (TimePoint::clock::now() >= deadline) return result = ExchangeResult::withdrawn, false;
-    if (interrupter_.is_interrupted() ||
-        write_all(fd, frame_body_piece(*streamed.remaining_body, piece), deadline) != IoResult::done)
+    if (TimePoint::clock::now() >= std::min(deadline, streamed.answer_deadline()))
+      return result = ExchangeResult::withdrawn, false;
+    if (interrupter_.is_interrupted() || write_piece(fd, streamed, piece, deadline) != IoResult::done)
       return false;
     // The backend answers before it has the whole body: it wants no more of the body and has not executed the
     // request.
-    if (!streamed.remaining_body->whole() && peek_socket(fd) == PeekResult::bytes) {
-      if (read_answer(deadline, conditions) == ExchangeResult::turned_away)
+    if (!streamed.remaining_body().whole() && peek_socket(fd) == PeekResult::bytes) {
+      if (read_answer(std::min(deadline, streamed.answer_deadline()), conditions) ==
+          ExchangeResult::turned_away)
         result = ExchangeResult::turned_away;
       answer_.keep_alive = false;
       return false;
     }
   }
-  streamed.sent_at = TimePoint::clock::now();
+  streamed.set_sent();
   return true;
 }
 
+// Writes a piece of a streamed body. While the backend accepts nothing, the end of the body may wait in
+// buffers on its way to this node and the client may wait for its answer, so the client's connection is
+// looked at.
+IoResult Exchange::write_piece(int fd, StreamedBody& streamed, std::string_view piece, TimePoint deadline) {
+  const auto max_pause = std::max(kMaxBackendPause, streamed.answer_time());
+  std::size_t accepted_before = 0;
+  TimePoint accepted_at = TimePoint::clock::now();
+  return write_all(fd, frame_body_piece(streamed.remaining_body(), piece), [&](std::size_t accepted_bytes) {
+    if (accepted_bytes > std::exchange(accepted_before, accepted_bytes))
+      accepted_at = TimePoint::clock::now();
+    return std::min({deadline, streamed.answer_deadline(), accepted_at + max_pause});
+  });
+}
+
 // Buffers a long answer until it is complete, or for as long as allowed, since an answer that is partly
 // forwarded to the client can't be replaced by another one. Returns `whole` when forwarding may begin.
 ReadResult Exchange::read_long_answer(TimePoint deadline, const SendConditions& conditions) {
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -11,6 +11,7 @@
 #include "net/http.h"
 #include "net/pool.h"
 #include "net/shutter.h"
+#include "net/streamed_body.h"
 
 namespace troutstage::net {
 
@@ -20,19 +21,6 @@
   sockaddr_in address{};
 };
 
-// The part of a request body that is not buffered: read from the client at the pace at which the backend
-// accepts it. Used by the thread that runs the exchange.
-struct StreamedBody {
-  std::function<ReadResult(std::string& piece)> next;  // reads the next piece from the client
-  const Body* remaining_body = nullptr;
-  std::int64_t remaining_ms = 0;    // how long the client waits for the answer after its last byte
-  bool is_partly_consumed = false;  // reading from the client began, so the request can't be sent again
-  TimePoint last_byte_at;           // arrival of the client's last byte; set once the whole body was read
-  // Valid once last_byte_at is set.
-  TimePoint answer_deadline() const { return last_byte_at + std::chrono::milliseconds(remaining_ms); }
-  TimePoint sent_at;  // when the whole body had been written to the backend
-};
-
 // Conditions that are checked again before the first byte of a hand-off is written, since establishing the
 // connection may take long; and a callback for the progress of a long answer.
 struct SendConditions {
@@ -78,6 +66,7 @@
   bool is_still_reusable(int fd, TimePoint checked_at);
   bool send_streamed_body(int fd, StreamedBody& streamed, TimePoint deadline,
                           const SendConditions& conditions, ExchangeResult& result);
+  static IoResult write_piece(int fd, StreamedBody& streamed, std::string_view piece, TimePoint deadline);
   ExchangeResult read_answer(TimePoint deadline, const SendConditions& conditions);
   ReadResult read_long_answer(TimePoint deadline, const SendConditions& conditions);
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -187,7 +187,10 @@
   const TimePoint read_by = has_begun && stall_limit_.count() > 0
                                 ? std::min(deadline, TimePoint::clock::now() + stall_limit_)
                                 : deadline;
-  switch (read_some(fd_, buffer_, read_by, arrival_)) {
+  const std::size_t size_before = buffer_.size();
+  const IoResult io = read_some(fd_, buffer_, read_by, arrival_);
+  read_bytes_ += buffer_.size() - size_before;
+  switch (io) {
     case IoResult::done: return ReadResult::whole;
     case IoResult::late: return read_by < deadline ? ReadResult::stalled : ReadResult::late;
     case IoResult::ended: return ReadResult::nothing;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -70,6 +70,7 @@
   std::size_t buffered_bytes() const { return buffer_.size() - head_size_; }  // behind the last message
   // For a long message, in which a pause does not mean that the rest never arrives.
   void disable_stall_limit() { stall_limit_ = {}; }
+  std::uint64_t read_bytes() const { return read_bytes_; }  // from the connection, since the constructor
   void release_buffer() { buffer_ = {}, head_size_ = 0; }  // for a connection that becomes idle
   bool write_bytes(std::string_view bytes, TimePoint deadline) {
     return write_all(fd_, bytes, deadline) == IoResult::done;
@@ -90,6 +91,7 @@
   int fd_;
   std::chrono::milliseconds stall_limit_;
   core::ArrivalEstimate* arrival_ = nullptr;
+  std::uint64_t read_bytes_ = 0;
   std::string buffer_;
   std::size_t head_size_ = 0;  // bytes of the last head at the front of the buffer
 };
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds kSocketRetryTime{15};     // during a shortage of sockets
 constexpr std::chrono::milliseconds kAddressRetryTime{1000};  // while the address is in use
 constexpr std::chrono::milliseconds kRouteRetryTime{20};      // while the network is unreachable
+constexpr std::chrono::milliseconds kWriteLimitInterval{20};  // between two calls of a WriteLimit
 
 // Waits until one of `events` is ready. The limit is a point in time, so that an interrupted wait keeps its
 // limit.
@@ -335,7 +336,29 @@
   return IoResult::done;
 }
 
-IoResult write_head_and_body(int fd, std::string head, std::string_view body, TimePoint limit) {
+// Repeats the call after each interval, whatever poll() says: POLLOUT is reported only once a large part of
+// the send buffer is free again.
+IoResult write_all(int fd, std::string_view bytes, const WriteLimit& limit) {
+  for (std::size_t accepted_bytes = 0; accepted_bytes < bytes.size();) {
+    const std::string_view rest = bytes.substr(accepted_bytes);
+    const ssize_t n = ::send(fd, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const int error = errno;
+    if (n >= 0) {
+      accepted_bytes += static_cast<std::size_t>(n);
+      continue;
+    }
+    const TimePoint now = TimePoint::clock::now();
+    const TimePoint write_by = limit(accepted_bytes);
+    if (now >= write_by) return IoResult::late;
+    Backoff backoff(write_by);
+    const IoResult io =
+        wait_before_retry("send", error, fd, POLLOUT, std::min(write_by, now + kWriteLimitInterval), backoff);
+    if (io != IoResult::done && io != IoResult::late) return io;
+  }
+  return IoResult::done;
+}
+
+IoResult write_head_and_body(int fd, std::string head, std::string_view body, const WriteLimit& limit) {
   constexpr std::size_t kMaxCopiedBody = 4096;
   if (body.size() <= kMaxCopiedBody) head += std::exchange(body, {});
   const IoResult io = write_all(fd, head, limit);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -90,9 +91,14 @@
 IoResult read_some(int fd, std::string& into, TimePoint limit, core::ArrivalEstimate* arrival = nullptr);
 // Writes all bytes, or fails.
 IoResult write_all(int fd, std::string_view bytes, TimePoint limit);
+// A time limit that may change while a write waits for the peer. Gets how many bytes of this write the system
+// has accepted.
+using WriteLimit = std::function<TimePoint(std::size_t accepted_bytes)>;
+// The same with a changing limit: `limit` is called before each wait, and during a wait at short intervals.
+IoResult write_all(int fd, std::string_view bytes, const WriteLimit& limit);
 // Writes head and body. A body over 4096 bytes is not copied behind its head, because a node with many
 // clients would hold every such body twice.
-IoResult write_head_and_body(int fd, std::string head, std::string_view body, TimePoint limit);
+IoResult write_head_and_body(int fd, std::string head, std::string_view body, const WriteLimit& limit);
 // What a peek at the unread bytes found. unknown: the peek failed and says nothing about the connection.
 enum class PeekResult { none, bytes, ended, broken, unknown };
 PeekResult peek_socket(int fd);  // does not block
--- /dev/null
+++ b/src/net/streamed_body.h
@@ -0,0 +1,49 @@
+// The part of a request body that is not buffered: it is read from the client at the pace at which the
+// backend accepts it. Knows by when the request has to be answered, which depends on when the client wrote
+// the last byte.
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "core/upload_estimate.h"
+#include "net/http.h"
+
+namespace troutstage::net {
+
+// Used by the thread that runs the exchange.
+class StreamedBody {
+ public:
+  // `remaining_body`: what `reader` has not read yet from the connection `client_fd`. `answer_time`: how long
+  // the client waits for its answer after it wrote the last byte.
+  StreamedBody(int client_fd, Reader& reader, core::ArrivalEstimate& arrival, Body& remaining_body,
+               std::chrono::milliseconds answer_time);
+  // Reads the next piece from the client.
+  ReadResult next(std::string& piece);
+  // Looks at the client's connection. Returns the time by which the request has to be answered, as far as is
+  // known now: while the client has not written the last byte, later looks return later times.
+  TimePoint answer_deadline();
+
+  const Body& remaining_body() const { return remaining_body_; }
+  std::chrono::milliseconds answer_time() const { return answer_time_; }
+  // Reading began, so the request can't be sent again.
+  bool is_partly_consumed() const { return is_partly_consumed_; }
+  // Notes that the whole body has been written to the backend.
+  void set_sent() { sent_at_ = TimePoint::clock::now(); }
+  // The epoch of the clock: the body has not been written whole.
+  TimePoint sent_at() const { return sent_at_; }
+
+ private:
+  void look();
+
+  const int client_fd_;
+  Reader& reader_;
+  core::ArrivalEstimate& arrival_;
+  Body& remaining_body_;
+  const std::chrono::milliseconds answer_time_;
+  core::UploadEstimate upload_;
+  bool is_partly_consumed_ = false;
+  TimePoint sent_at_;
+};
+
+}  // namespace troutstage::net
--- /dev/null
+++ b/tests/streaming_test.cpp
@@ -0,0 +1,167 @@
+// Request bodies that are passed on while they arrive, before backends that read slowly or not at all.
+#include <fmt/format.h>
+#include <poll.h>
+
+#include "core/upload_estimate.h"
+#include "stand_in.h"
+
+using namespace stand_in;
+using core::UploadEstimate;
+
+namespace {
+
+// Later than this after its time, a request that was not answered is lost.
+constexpr milliseconds kGrace{500};
+constexpr std::size_t kChunkBytes = 50000;
+
+// A request with a body that clients can write whole while a backend reads nothing of it, since the buffers on the way hold it.
+std::string order(std::size_t size, int limit_ms, bool chunked) {
+  const std::string head =
+      fmt::format("POST /order HTTP/1.1\r\nX-Txn: t\r\nX-Remaining-Ms: {}\r\nIdempotency-Key: k\r\n", limit_ms);
+  if (!chunked) return fmt::format("{}Content-Length: {}\r\n\r\n", head, size) + std::string(size, 'x');
+  std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t left = size; left > 0;) {
+    const std::size_t piece = std::min(left, kChunkBytes);
+    text += fmt::format("{:x}\r\n{}\r\n", piece, std::string(piece, 'x'));
+    left -= piece;
+  }
+  return text + "0\r\n\r\n";
+}
+
+// A backend that reads its connections at a pace of its own and never answers.
+class SlowReader {
+ public:
+  explicit SlowReader(std::size_t bytes_per_ms) : bytes_per_ms_(bytes_per_ms), listener_(listen_on(parse_address("127.0.0.1:0"))) {
+    reads_ = std::thread([this] { run(); });
+  }
+  ~SlowReader() {
+    stop_ = true;
+    reads_.join();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_of(listener_.get())); }
+
+ private:
+  void run() {
+    std::vector<Fd> connections;
+    std::string bytes(bytes_per_ms_ * kStepMs, ' ');
+    while (!stop_) {
+      if (wait_readable(listener_.get(), soon(kStepMs)) == IoResult::done) connections.emplace_back(::accept(listener_.get(), nullptr, nullptr));
+      for (const Fd& fd : connections)
+        if (!bytes.empty()) (void)::recv(fd.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    }
+  }
+  static constexpr int kStepMs = 5;
+  const std::size_t bytes_per_ms_;
+  Fd listener_;
+  std::atomic<bool> stop_{false};
+  std::thread reads_;
+};
+
+}  // namespace
+
+// Guards against a client that has written its whole request and waits for a backend that takes nothing, or little, of it.
+TEST_CASE("a long request written whole is answered by its client's limit though its backend reads little or nothing",
+          "[bulk]") {
+  constexpr int kLimit = 700;
+  const std::size_t bytes_per_ms = GENERATE(0U, 20U, 1000U);
+  const bool chunked = GENERATE(false, true);
+  const bool may_cancel = GENERATE(true, false);
+  INFO(bytes_per_ms << " bytes a millisecond, chunked " << chunked << ", cancel " << may_cancel);
+  SlowReader backend(bytes_per_ms);
+  Server discovery(no_news);
+  std::string text = config_text(list(1, true, {backend.address()}), discovery.address());
+  if (!may_cancel) text = replaced(text, R"("cancel":true)", R"("cancel":false)");
+  const auto node = std::make_unique<Node>(read_config(text));
+  node->start();
+  Visitor visitor(*node);
+  visitor.send(order(5200000, kLimit, chunked));
+  const TimePoint written = TimePoint::clock::now();
+  Response response;
+  REQUIRE(visitor.receive(response) == ReadResult::whole);
+  CHECK(TimePoint::clock::now() - written <= milliseconds(kLimit) + kGrace);
+  visitor.leave();
+  node->stop({});
+  // What was not written whole to a backend has never run.
+  CHECK(response.status == (node->counters().written == 0 ? 503 : 502));
+}
+
+// Guards against the same wait before the first byte of the request is sent.
+TEST_CASE("a long request written whole is answered by its client's limit though no connection to a backend comes up",
+          "[bulk]") {
+  constexpr int kLimit = 700;
+  Deaf backend;
+  Server discovery(no_news);
+  const auto node = std::make_unique<Node>(read_config(replaced(
+      config_text(list(1, true, {backend.address()}), discovery.address()), R"("connect-timeout":250000)", R"("connect-timeout":5000000)")));
+  node->start();
+  Visitor visitor(*node);
+  visitor.send(order(2000000, kLimit, GENERATE(false, true)));
+  const TimePoint written = TimePoint::clock::now();
+  Response response;
+  REQUIRE(visitor.receive(response) == ReadResult::whole);
+  CHECK(TimePoint::clock::now() - written <= milliseconds(kLimit) + kGrace);
+  CHECK(response.status == 503);
+}
+
+// Guards against the opposite: a client that is still sending is given up as if its last byte had been written.
+TEST_CASE("a long request that its client is still writing is waited for though its backend stands still for a while",
+          "[bulk]") {
+  constexpr int kLimit = 300;
+  constexpr std::size_t kSize = 32'000'000;  // more than the buffers on the way hold
+  Flag stands_still, goes_on;
+  Fd listener = listen_on(parse_address("127.0.0.1:0"));
+  std::thread backend([&] {
+    REQUIRE(wait_readable(listener.get(), soon()) == IoResult::done);
+    const Fd fd(::accept(listener.get(), nullptr, nullptr));
+    std::string got;
+    while (got.size() < 300000) REQUIRE(read_some(fd.get(), got, soon()) == IoResult::done);
+    stands_still.set();
+    goes_on.await();
+    while (got.size() < kSize || got.find("\r\n\r\n") + 4 + kSize > got.size()) REQUIRE(read_some(fd.get(), got, soon()) == IoResult::done);
+    write_all(fd.get(), ok("done"), soon());
+  });
+  Fleet fleet({"127.0.0.1:" + std::to_string(port_of(listener.get()))});
+  Visitor visitor(fleet.node);
+  std::thread client([&] { visitor.send(order(kSize, kLimit, false)); });
+  stands_still.await();
+  pollfd nothing{-1, 0, 0};
+  ::poll(&nothing, 1, kLimit * 3);  // the pause is the fault; what is checked is that the request is served after it
+  goes_on.set();
+  client.join();
+  Response response;
+  REQUIRE(visitor.receive(response) == ReadResult::whole);
+  CHECK(response.status == 200);
+  backend.join();
+}
+
+TEST_CASE("what has arrived of a body bounds when its last byte was written", "[core]") {
+  constexpr std::uint64_t kBuffer = UploadEstimate::kMaxSendBufferBytes;
+  const TimePoint start = TimePoint::clock::now();
+  const auto at = [&](int ms) { return start + milliseconds(ms); };
+  SECTION("more is missing than a send buffer holds") {
+    UploadEstimate upload(start, 2 * kBuffer);
+    upload.add({at(1), kBuffer - 1, false});
+    CHECK(upload.unwritten_until() == at(1));
+    upload.add({at(2), kBuffer, false});
+    CHECK(upload.unwritten_until() == at(1));
+  }
+  SECTION("the client's machine has nothing more to send though it may") {
+    UploadEstimate upload(start, 1000);
+    upload.add({at(1), 999, true});
+    CHECK(upload.unwritten_until() == at(1));
+    upload.add({at(2), 1000, true});
+    CHECK(upload.unwritten_until() == at(1));
+  }
+  SECTION("without a length, only what arrives later shows how far the client was") {
+    UploadEstimate upload(start, std::nullopt);
+    upload.add({at(1), 1000, false});
+    upload.add({at(2), 1000 + kBuffer, false});
+    CHECK(upload.unwritten_until() == start);
+    upload.add({at(3), 1001 + kBuffer, false});
+    CHECK(upload.unwritten_until() == at(1));
+    upload.add({at(4), 1001 + kBuffer, true});
+    CHECK(upload.unwritten_until() == at(4));
+    upload.add({at(5), 1001 + 3 * kBuffer, false});
+    CHECK(upload.unwritten_until() == at(4));
+  }
+}
