A client that reads a long answer slowly gets it whole

Cause: each 64 KiB had 5 s to go into the send buffer, and the wait was one for POLLOUT, which Linux reports only once about a third of a full buffer is free: over 1 MB of 4.

Evidence: node's log, four answer_cut at 5.04 s. A trace of the unacknowledged bytes on the code as it was: 3.86 to 3.89 million as each failed write began, 2.95 to 3.20 million as it ended: the clients were reading.

Fix: a client has stopped reading when the count of acknowledged bytes stands still, for 5 s and what a reader of 64 kB a second needs for half of its receive window (core/reader_progress); a reader that goes on is never taken for one that stopped, whatever the buffers hold.

Tests: "a client that reads a long answer slowly and steadily gets it whole" found the end of the connection before.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 
 #include "log/log.h"
+#include "net/send_state.h"
 #include "net/system_times.h"
 
 namespace troutstage::net {
@@ -20,14 +21,13 @@
 constexpr std::chrono::milliseconds kMaxHeadTime{2500}, kMaxBodyTime{2700};
 // Time limit for each piece of a body.
 constexpr std::chrono::milliseconds kBodyPieceTimeout{2000};
-// Time limit for a client to take kMaxWriteBytes of an answer.
-constexpr std::chrono::seconds kWriteTimeout{5};
+// The receive window of a client whose system does not report it: half of the largest receive buffer that
+// Linux gives to a connection by default.
+constexpr std::uint64_t kAssumedClientWindow = 3 << 20;
 // Longest pause of the backend in a forwarded answer that continues after the client's time limit.
 constexpr std::chrono::milliseconds kLatePauseLimit{1000};
 // How often a thread that waits for more of an answer checks whether the node shuts down.
 constexpr std::chrono::milliseconds kStopCheckInterval{50};
-// Bytes of an answer that one write may send; kWriteTimeout applies to each write.
-constexpr std::size_t kMaxWriteBytes = 64 * 1024;
 // A client that sends its next request right after an answer does so within this time.
 constexpr std::chrono::milliseconds kNextRequestWait{2};
 // Bytes that a client may send after its last answer before the connection is closed.
@@ -660,17 +660,27 @@
   }
 }
 
-// Writes an answer or a part of an answer. False: the client did not take it in time, or closed; the
-// connection is over.
+// Observes how much of its answer the client has taken. `accepted_bytes`: what the system has accepted of it.
+void ClientConnection::observe_reading(std::uint64_t accepted_bytes) {
+  const auto state = send_state(fd_.get());
+  reading_.observe(TimePoint::clock::now(), state ? state->acknowledged_bytes : accepted_bytes,
+                   state ? state->peer_window : kAssumedClientWindow);
+}
+
+// Writes an answer or a part of an answer, at the pace at which the client reads. False: the client stopped
+// reading or closed, or this node has to end before the client has read on; the connection is over.
 bool ClientConnection::write(std::string head, std::string_view body) {
-  const auto deadline = [] { return TimePoint::clock::now() + kWriteTimeout; };
   const TimePoint now = TimePoint::clock::now();
   arrival_.no_bytes_until(now);
-  IoResult io = write_head_and_body(fd_.get(), std::move(head), body.substr(0, kMaxWriteBytes),
-                                    [now](std::size_t) { return now + kWriteTimeout; });
-  for (std::size_t offset = kMaxWriteBytes; io == IoResult::done && offset < body.size();
-       offset += kMaxWriteBytes)
-    io = write_all(fd_.get(), body.substr(offset, kMaxWriteBytes), deadline());
+  reading_.start(now);
+  observe_reading(written_bytes_);
+  const std::size_t size = head.size() + body.size();
+  const IoResult io =
+      write_head_and_body(fd_.get(), std::move(head), body, [this](std::size_t accepted_bytes) {
+        observe_reading(written_bytes_ + accepted_bytes);
+        return std::min(reading_.limit(), node_.answer_deadline_.load());
+      });
+  written_bytes_ += size;
   if (io == IoResult::done) return note_empty_after_write(now), true;
   ++node_.counters_.answers_unread;
   close_reason_ = CloseReason::answer_cut;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "core/reader_progress.h"
 #include "net/closing.h"
 #include "net/exchange.h"
 #include "net/http.h"
@@ -82,6 +83,7 @@
   static std::function<void()> prepare_hand_off(Node& node, const std::shared_ptr<InvocationContext>& context,
                                                 const core::Instruction& instruction);
   void hand_off(const std::shared_ptr<InvocationContext>& context, const core::Instruction& instruction);
+  void observe_reading(std::uint64_t accepted_bytes);
   bool write(std::string head, std::string_view body);
   void note_empty_after_write(TimePoint write_started_at);
   bool reply(int status, std::string_view text, bool keep_alive, std::string_view headers = "");
@@ -111,6 +113,9 @@
   // 503.
   const bool is_within_budget_;
   std::size_t discarded_bytes_ = 0;
+  // Bytes of answers that were written before the present write.
+  std::uint64_t written_bytes_ = 0;
+  core::ReaderProgress reading_;
 };
 
 }  // namespace troutstage::net
--- a/tests/streaming_test.cpp
+++ b/tests/streaming_test.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 #include <poll.h>
 
+#include "core/reader_progress.h"
 #include "core/upload_estimate.h"
 #include "stand_in.h"
 
@@ -134,6 +135,70 @@
   backend.join();
 }
 
+// Guards against a client that reads on, but too slowly for the system to report much room, taken for one that has stopped.
+TEST_CASE("a client that reads a long answer slowly and steadily gets it whole", "[bulk]") {
+  constexpr std::size_t kSize = 6'000'000;  // more than the node's machine buffers
+  constexpr std::size_t kBytesPerMs = 100;
+  const std::string body(kSize, 'x');
+  Server backend([&](const Server::Call& call) {
+    write_all(call.fd, ok(body), soon(60000));
+    return std::string();
+  });
+  Fleet fleet({backend.address()});
+  const Fd client = new_socket();
+  REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(fleet.node.port())), soon()) == IoResult::done);
+  REQUIRE(write_all(client.get(), request("view", "", 3000), soon()) == IoResult::done);
+  std::string got;
+  const TimePoint start = TimePoint::clock::now();
+  for (TimePoint now = start; now < start + milliseconds(8000); now = TimePoint::clock::now()) {
+    const auto ms = std::chrono::duration_cast<milliseconds>(now - start).count();
+    if (got.size() < static_cast<std::size_t>(ms) * kBytesPerMs) REQUIRE(read_some(client.get(), got, soon()) == IoResult::done);
+    else std::this_thread::sleep_for(milliseconds(5));  // the pace is the fault
+  }
+  while (got.size() < kSize || got.size() < got.find("\r\n\r\n") + 4 + kSize) REQUIRE(read_some(client.get(), got, soon()) == IoResult::done);
+  CHECK(got.starts_with("HTTP/1.1 200 "));
+  CHECK(fleet.node.counters().answers_unread == 0);
+}
+
+// Guards against the opposite: a client that has stopped, or reads slowly, keeps its thread and its node's end waiting for long.
+TEST_CASE("a client that stops in a long answer is let go, and a slow one does not hold up a stop", "[bulk]") {
+  const std::string body(8'000'000, 'x');
+  Flag began;
+  Server backend([&](const Server::Call& call) {
+    began.set();
+    write_all(call.fd, ok(body), soon(60000));
+    return std::string();
+  });
+  Fleet fleet({backend.address()});
+  Visitor visitor(fleet.node);
+  visitor.send(request("view", "", 3000));
+  began.await();
+  const bool stops = GENERATE(false, true);
+  const TimePoint start = TimePoint::clock::now();
+  if (stops) fleet.node.stop({{}, {}, milliseconds(300)});
+  const milliseconds bound = stops ? milliseconds(2000) : core::ReaderProgress::kMaxPause + milliseconds(5000);
+  while (fleet.node.counters().answers_unread == 0 && TimePoint::clock::now() < start + bound) std::this_thread::sleep_for(milliseconds(5));
+  CHECK(fleet.node.counters().answers_unread == 1);
+  CHECK(TimePoint::clock::now() < start + bound);
+}
+
+TEST_CASE("a peer has stopped reading once it takes nothing for longer than a slow one needs for a step", "[core]") {
+  using core::ReaderProgress;
+  const TimePoint start = TimePoint::clock::now();
+  const auto at = [&](int ms) { return start + milliseconds(ms); };
+  ReaderProgress reading;
+  reading.start(start);
+  CHECK(reading.limit() == start + ReaderProgress::kMaxPause);
+  reading.observe(at(1), 6400, 1'280'000);
+  CHECK(reading.limit() == at(101) + ReaderProgress::kMaxPause);  // it has taken no more than that
+  reading.observe(at(2), 10'000'000, 0);
+  CHECK(reading.limit() == at(10'002) + ReaderProgress::kMaxPause);  // half of its window, at the slowest pace
+  reading.observe(at(3), 10'000'000, 0);
+  CHECK(reading.limit() == at(10'002) + ReaderProgress::kMaxPause);
+  reading.observe(at(4), 10'000'001, 0);
+  CHECK(reading.limit() == at(10'004) + ReaderProgress::kMaxPause);
+}
+
 TEST_CASE("what has arrived of a body bounds when its last byte was written", "[core]") {
   constexpr std::uint64_t kBuffer = UploadEstimate::kMaxSendBufferBytes;
   const TimePoint start = TimePoint::clock::now();
