Hand-offs use their client's connection only while the invocation is open

Cause: a hand-off that can't be cancelled outlasts its invocation, and read a streamed body through the ClientConnection, which is destroyed with the invocation: freed memory, and a descriptor number given to another client. is_still_wanted used that number too.

Fix: net/connection_access, owned by the invocation's context, which hand-offs hold. The serving thread ends the access before the final answer is sent and before the connection goes, and waits until nobody uses it; then the body reads as cut and the hand-off ends as never run. Nothing of a hand-off can reach the connection or its number after that.

Tests: "where attempts can't be cancelled, a body that flows ends with its client" ended by heap-use-after-free in Reader::read_bytes before. "where attempts can be cancelled, a body that flows in a second attempt ends with its client" and "the rest of a body whose request has its final answer is nobody's request" passed before too; they guard the related paths.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -87,8 +87,10 @@
   // The client waits for its answer until then.
   TimePoint client_deadline;
   core::InvocationHandle handle;
-  // The client's socket, open until the answer is final. -1: a disconnect of the client can't be
-  // distinguished from a shutdown of the reading side by this node.
+  // Ends before the final answer is sent. Hand-offs use the client's connection through it only.
+  mutable ConnectionAccess client_access;
+  // The client's socket. -1: a disconnect of the client can't be distinguished from a shutdown of the reading
+  // side by this node.
   int client_socket = -1;
   // Indexed by the number of the hand-off. Changed by the thread that serves the client; while that thread
   // runs a hand-off itself, by the thread that holds the balancer's lock.
@@ -289,7 +291,8 @@
         request.remaining_body.framing() == Framing::length ? request.remaining_body.left() : kMaxBodyBytes);
     invocation.valid_until += (remaining_bytes / kMinBytesPerMs + kBodyPieceTimeout.count()) * kTenthsPerMs;
     invocation.has_streaming_body = true;
-    context->streamed_body.emplace(fd_.get(), reader_, arrival_, context->request.remaining_body,
+    context->streamed_body.emplace(context->client_access, fd_.get(), reader_, arrival_,
+                                   context->request.remaining_body,
                                    std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin);
   }
   invocation.hint = request.hint_micros / 100;
@@ -309,7 +312,8 @@
       if (instruction.what == core::InstructionKind::hand_off) hand_off(context, instruction);
       else if (instruction.what == core::InstructionKind::cancel) cancel(*context, instruction.number);
       else
-        return trace_answer(*context, kInstructionNames[static_cast<std::size_t>(instruction.what)], arrived),
+        return context->client_access.end(),
+               trace_answer(*context, kInstructionNames[static_cast<std::size_t>(instruction.what)], arrived),
                send_final_answer(*context, instruction,
                                  client_keeps_alive && !node_.closes_connections_after_answer());
     }
@@ -319,6 +323,7 @@
     ++node_.counters_.broke_inside;
     ++context->workload_entry.answers->given_up;
     if (handle) node_.balancer_.client_gone(handle);
+    context->client_access.end();
     return reply(500, "broke inside\n", false);
   }
 }
@@ -615,7 +620,11 @@
 // not have run yet.
 bool ClientConnection::is_still_wanted(Node& node, const InvocationContext& context) {
   if (node.balancer_.is_answered(context.handle)) return false;
-  if (context.client_socket < 0 || !peer_has_closed(context.client_socket)) return true;
+  if (context.client_socket < 0) return true;
+  bool has_closed = false;
+  const bool is_open =
+      context.client_access.with_connection([&] { has_closed = peer_has_closed(context.client_socket); });
+  if (is_open && !has_closed) return true;
   node.balancer_.client_gone(context.handle);
   return false;
 }
--- a/src/net/streamed_body.cpp
+++ b/src/net/streamed_body.cpp
@@ -1,10 +1,14 @@
 #include "net/streamed_body.h"
 
+#include <algorithm>
+
 namespace troutstage::net {
 namespace {
 
 // Time limit for the client to send each piece.
 constexpr std::chrono::milliseconds kPieceTimeout{2000};
+// The end of an invocation waits for so long at the most while a piece is waited for.
+constexpr std::chrono::milliseconds kMaxAccessTime{10};
 
 // The count of bytes read from the connection at which the body is whole.
 std::optional<std::uint64_t> end_of(const Reader& reader, const Body& remaining_body) {
@@ -14,34 +18,48 @@
 
 }  // namespace
 
-StreamedBody::StreamedBody(int client_fd, Reader& reader, core::ArrivalEstimate& arrival,
-                           Body& remaining_body, std::chrono::milliseconds answer_time)
-    : client_fd_(client_fd), reader_(reader), arrival_(arrival), remaining_body_(remaining_body),
-      answer_time_(answer_time), upload_(arrival.earliest(), end_of(reader, remaining_body)) {}
+StreamedBody::StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader,
+                           core::ArrivalEstimate& arrival, Body& remaining_body,
+                           std::chrono::milliseconds answer_time)
+    : access_(access), client_fd_(client_fd), reader_(reader), arrival_(arrival),
+      remaining_body_(remaining_body), answer_time_(answer_time),
+      upload_(arrival.earliest(), end_of(reader, remaining_body)) {}
 
 ReadResult StreamedBody::next(std::string& piece) {
   is_partly_consumed_ = true;
-  look();
-  return remaining_body_.next(reader_, TimePoint::clock::now() + kPieceTimeout, piece);
+  const TimePoint deadline = TimePoint::clock::now() + kPieceTimeout;
+  ReadResult read_result = ReadResult::late;
+  while (read_result == ReadResult::late && TimePoint::clock::now() < deadline) {
+    const bool has_access = access_.with_connection([&] {
+      look();
+      read_result =
+          remaining_body_.next(reader_, std::min(deadline, TimePoint::clock::now() + kMaxAccessTime), piece);
+      if (remaining_body_.whole()) answer_deadline_ = arrival_.arrival() + answer_time_;
+    });
+    if (!has_access) return ReadResult::cut;
+  }
+  return read_result;
 }
 
 TimePoint StreamedBody::answer_deadline() {
-  look();
-  return (remaining_body_.whole() ? arrival_.arrival() : arrival_.earliest()) + answer_time_;
+  if (remaining_body_.whole()) return is_sent() || !access_.has_ended() ? answer_deadline_ : TimePoint::min();
+  return access_.with_connection([this] { look(); }) ? answer_deadline_ : TimePoint::min();
 }
 
 // Only an empty socket shows that the client's machine has nothing more to send: with unread bytes it may be
 // waiting for a larger receive window. While the node waits for bytes, its checks that find none show the
 // same; those are in arrival_ already.
 void StreamedBody::look() {
-  if (remaining_body_.whole()) return;
   const TimePoint now = TimePoint::clock::now();
-  const auto unread = unread_byte_count(client_fd_);
-  if (!unread) return;
+  if (const auto unread = unread_byte_count(client_fd_)) add_look(now, *unread);
+  answer_deadline_ = arrival_.earliest() + answer_time_;
+}
+
+void StreamedBody::add_look(TimePoint now, std::size_t unread) {
   // If the length of the body is not known, unparsed bytes may hold its end.
   const std::size_t unparsed =
-      remaining_body_.framing() == Framing::length ? *unread : *unread + reader_.buffered_bytes();
-  upload_.add({now, reader_.read_bytes() + *unread, unparsed == 0});
+      remaining_body_.framing() == Framing::length ? unread : unread + reader_.buffered_bytes();
+  upload_.add({now, reader_.read_bytes() + unread, unparsed == 0});
   if (upload_.unwritten_until() > arrival_.earliest()) arrival_.no_bytes_until(upload_.unwritten_until());
 }
 
--- a/src/net/streamed_body.h
+++ b/src/net/streamed_body.h
@@ -7,21 +7,25 @@
 #include <string>
 
 #include "core/upload_estimate.h"
+#include "net/connection_access.h"
 #include "net/http.h"
 
 namespace troutstage::net {
 
-// Used by the thread that runs the exchange.
+// Used by the thread that runs the exchange. Once the access to the client's connection has ended, the body
+// ends too.
 class StreamedBody {
  public:
   // `remaining_body`: what `reader` has not read yet from the connection `client_fd`. `answer_time`: how long
   // the client waits for its answer after it wrote the last byte.
-  StreamedBody(int client_fd, Reader& reader, core::ArrivalEstimate& arrival, Body& remaining_body,
-               std::chrono::milliseconds answer_time);
-  // Reads the next piece from the client.
+  // `client_fd`, `reader` and `arrival` belong to the connection and are used through `access` only.
+  StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader, core::ArrivalEstimate& arrival,
+               Body& remaining_body, std::chrono::milliseconds answer_time);
+  // Reads the next piece from the client. `cut` also if the access has ended.
   ReadResult next(std::string& piece);
   // Looks at the client's connection. Returns the time by which the request has to be answered, as far as is
-  // known now: while the client has not written the last byte, later looks return later times.
+  // known now: while the client has not written the last byte, later looks return later times. A time in the
+  // past if the access ended before the body was sent whole: the rest of the body must not be sent then.
   TimePoint answer_deadline();
 
   const Body& remaining_body() const { return remaining_body_; }
@@ -34,14 +38,18 @@
   TimePoint sent_at() const { return sent_at_; }
 
  private:
+  bool is_sent() const { return sent_at_ != TimePoint(); }
   void look();
+  void add_look(TimePoint now, std::size_t unread);
 
+  ConnectionAccess& access_;
   const int client_fd_;
   Reader& reader_;
   core::ArrivalEstimate& arrival_;
   Body& remaining_body_;
   const std::chrono::milliseconds answer_time_;
   core::UploadEstimate upload_;
+  TimePoint answer_deadline_;  // of the last look
   bool is_partly_consumed_ = false;
   TimePoint sent_at_;
 };
--- a/tests/streaming_test.cpp
+++ b/tests/streaming_test.cpp
@@ -135,6 +135,111 @@
   backend.join();
 }
 
+// Guards against a hand-off that reads on from the connection of a client that has left, or from one that has got its number.
+TEST_CASE("where attempts can't be cancelled, a body that flows ends with its client", "[bulk]") {
+  constexpr int kOthers = 8;
+  Flag reads_on;
+  std::atomic<int> read_from_others{0};
+  std::atomic<bool> has_ended{false};
+  Fd listener = listen_on(parse_address("127.0.0.1:0"));
+  std::thread backend([&] {
+    REQUIRE(wait_readable(listener.get(), soon()) == IoResult::done);
+    const Fd fd(::accept(listener.get(), nullptr, nullptr));
+    reads_on.await();
+    std::string got;
+    while (read_some(fd.get(), got, soon()) == IoResult::done)
+      for (std::size_t at; (at = got.find("Y-Others")) != got.npos; got.erase(0, at + 1)) ++read_from_others;
+    has_ended = true;
+  });
+  Server discovery(no_news);
+  const auto node = std::make_unique<Node>(read_config(replaced(
+      config_text(list(1, true, {"127.0.0.1:" + std::to_string(port_of(listener.get()))}), discovery.address()), R"("cancel":true)",
+      R"("cancel":false)")));
+  node->start();
+  {
+    const Fd client = new_socket();
+    const linger reset{1, 0};  // its end would else wait behind its bytes
+    ::setsockopt(client.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    REQUIRE(connect_to(client.get(), parse_address("127.0.0.1:" + std::to_string(node->port())), soon()) == IoResult::done);
+    // All buffers are full: the node waits for its backend.
+    REQUIRE(write_all(client.get(), order(32'000'000, 20000, false), soon(1500)) == IoResult::late);
+  }
+  while (node->counters().open > 0) std::this_thread::yield();
+  // One of these gets the number that the client's connection had.
+  std::vector<std::unique_ptr<Visitor>> others;
+  for (int i = 0; i < kOthers; ++i) {
+    others.push_back(std::make_unique<Visitor>(*node));
+    others.back()->send("GET /up HTTP/1.1\r\nY-Others: 1\r\n");
+  }
+  reads_on.set();
+  backend.join();
+  CHECK(has_ended);
+  CHECK(read_from_others == 0);
+  for (const auto& other : others) {
+    other->send("\r\n");
+    Response response;
+    CHECK(other->receive(response) == ReadResult::whole);
+  }
+  others.clear();
+  node->stop({});
+  CHECK(node->counters().written == 0);  // nobody has run what its client had not sent whole
+}
+
+// Guards against the same where attempts can be cancelled: a second attempt runs on a thread of its own there.
+TEST_CASE("where attempts can be cancelled, a body that flows in a second attempt ends with its client", "[bulk]") {
+  int second_attempts = 0;
+  for (int round = 0; round < 12; ++round) {
+    SlowReader backend(1000);
+    Server discovery(no_news);
+    const std::string text = replaced(config_text(list(1, true, {closed_port(), backend.address()}), discovery.address()),
+                                      R"("seed":"2a")", fmt::format(R"("seed":"{}")", round + 1));
+    const auto node = std::make_unique<Node>(read_config(text));
+    node->start();
+    Visitor visitor(*node);
+    // The node waits for its client, or for its backend.
+    visitor.send(order(12'000'000, 20000, false).substr(0, round % 2 == 0 ? 400'000 : 5'000'000));
+    while (node->counters().connections_opened == 0 && node->counters().rejected == 0) std::this_thread::yield();
+    visitor.leave();
+    while (node->counters().open > 0) std::this_thread::yield();
+    Visitor other(*node);
+    CHECK(other.ask("GET /up HTTP/1.1\r\n\r\n").status == 200);
+    other.leave();
+    node->stop({});
+    CHECK(node->counters().written == 0);
+    second_attempts += node->counters().handed_off > 1;
+  }
+  CHECK(second_attempts > 0);
+}
+
+// Guards against the rest of a body taken for a request, and against a second answer, once its client has its final answer.
+TEST_CASE("the rest of a body whose request has its final answer is nobody's request", "[bulk]") {
+  const bool may_cancel = GENERATE(true, false);
+  INFO("cancel " << may_cancel);
+  SlowReader stands_still(0);
+  Server discovery(no_news);
+  std::string text = config_text(list(1, true, {stands_still.address()}), discovery.address());
+  if (!may_cancel) text = replaced(text, R"("cancel":true)", R"("cancel":false)");
+  const auto node = std::make_unique<Node>(read_config(text));
+  node->start();
+  Visitor visitor(*node);
+  std::string whole = order(5'200'000, 300, false);
+  const std::string hidden = request("view");
+  whole.replace(whole.size() - hidden.size(), hidden.size(), hidden);
+  visitor.send(whole.substr(0, whole.size() - hidden.size()));
+  std::thread rest([&] {
+    while (node->counters().rejected == 0) std::this_thread::yield();
+    visitor.send(hidden);
+  });
+  Response response;
+  CHECK(visitor.receive(response) == ReadResult::whole);
+  CHECK(response.status == 503);
+  rest.join();
+  CHECK(visitor.ended());
+  visitor.leave();
+  node->stop({});
+  CHECK(node->counters().taken == 1);
+}
+
 // Guards against a client that reads on, but too slowly for the system to report much room, taken for one that has stopped.
 TEST_CASE("a client that reads a long answer slowly and steadily gets it whole", "[bulk]") {
   constexpr std::size_t kSize = 6'000'000;  // more than the node's machine buffers
