--- a/src/net/http.h
+++ b/src/net/http.h
@@ -71,7 +71,7 @@
   // For a long message, in which a pause does not mean that the rest never arrives.
   void disable_stall_limit() { stall_limit_ = {}; }
   std::uint64_t read_bytes() const { return read_bytes_; }  // from the connection, since the constructor
-  void release_buffer() { buffer_ = {}, head_size_ = 0; }  // for a connection that becomes idle
+  void release_buffer() { buffer_ = {}, head_size_ = 0; }   // for a connection that becomes idle
   bool write_bytes(std::string_view bytes, TimePoint deadline) {
     return write_all(fd_, bytes, deadline) == IoResult::done;
   }
