--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,13 +39,19 @@
 
     for n in range(4):
         usual(n)
-    for n in range(5):
-        # One request, of one id, in the node's eyes: its body has a length, and what is in it is data.
+    for n in range(6):
+        # One request, of one id, in the node's eyes: what stands in its body or in its header's value is data.
         outer, inner = f"outer-{n}", f"inner-{n}"
         sent.add(outer)
-        body = b"0\r\n\r\n" + stand.head_of("POST", f"/payment/hidden-{n}", {"X-Txn": inner, "X-Remaining-Ms": "2000"}, 3) + b"pay"
-        pressure = "util=0.5\nTransfer-Encoding: chunked" if stand.TROUBLE else "util=0.5"
-        head = stand.head_of("POST", f"/payment/{outer}", {"X-Txn": outer, "X-Remaining-Ms": "2500", "X-Pressure": pressure}, len(body))
+        hidden = stand.head_of("POST", f"/payment/hidden-{n}", {"X-Txn": inner, "X-Remaining-Ms": "2000"}, 3) + b"pay"
+        if n % 2:  # a length, and chunks behind a bare line end
+            body = b"0\r\n\r\n" + hidden
+            pressure = "util=0.5\nTransfer-Encoding: chunked" if stand.TROUBLE else "util=0.5"
+            head = stand.head_of("POST", f"/payment/{outer}", {"X-Txn": outer, "X-Remaining-Ms": "2500", "X-Pressure": pressure}, len(body))
+        else:  # an empty line of bare line ends
+            body = b""
+            pressure = "util=0.5\n\n" + hidden.decode("latin-1").replace("\r\n", "\n") if stand.TROUBLE else "util=0.5"
+            head = stand.head_of("GET", f"/preview-view/{outer}", {"X-Txn": outer, "X-Remaining-Ms": "1400", "X-Pressure": pressure})
         record(f"client sends {outer}: {head + body!r}")
         connection = stand.connect(listen)
         connection.sendall(head + body)
