A forwarded answer waits until its client's limit where the body came slowly

The request had run.

Cause: ClientConnection::invoke() sets client_deadline from the part of the body that is read before the hand-off, and nothing moved it once the rest had come. The exchange goes by the streamed body's own limit, but next_answer_piece() goes by client_deadline: in the past by then, so only the 1 s that each piece has after the limit was left.

Evidence: the event answer_cut of the case said limit_ms=3400 last_piece_ms=3292 cut_ms=4293, counted from the buffered part: 1.0 s after the last piece, and past that limit, while the client's own had 0.57 s to go.

Change: StreamedBody keeps when its last byte came, and before the final answer the invocation's arrival and limit are set from it. That moment is the one by which the exchange and the limit passed on go already, and it is read after the access to the client's connection has ended, so no hand-off changes it any more. The events answer_cut and answered count from it too: their times had hidden the cause.

Test: "an answer to a body that came slowly may pause until its client's limit, which counts from the last byte" (real process, three framings of the answer, two of the request, two effects, cancel both ways).

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -88,6 +88,7 @@
   bool has_streaming_body = false;
   mutable std::optional<TransactionTable::ScopedTransaction> transaction;
   // When the last byte of the request arrived, as far as is known. The client's time limit counts from here.
+  // Of a request with a streamed body: the last byte of the buffered part, until note_end_of_body().
   TimePoint arrived;
   // The end of the last check of the socket that found no byte of the request, the end of the first check
   // that found bytes, and the moment at which the request had been read.
@@ -96,7 +97,7 @@
   bool is_by_system_time = false;
   // How long before the reading the last bytes arrived, as the system reported.
   std::optional<std::chrono::milliseconds> reported_ago;
-  // The client waits for its answer until then.
+  // The client waits for its answer until then: its time limit after `arrived`.
   TimePoint client_deadline;
   core::InvocationHandle handle;
   // Ends before the final answer is sent. Hand-offs use the client's connection through it only.
@@ -398,11 +399,7 @@
       const core::Instruction instruction = node_.balancer_.next_instruction(handle);
       if (instruction.what == core::InstructionKind::hand_off) hand_off(context, instruction);
       else if (instruction.what == core::InstructionKind::cancel) cancel(*context, instruction.number);
-      else
-        return context->client_access.end(),
-               trace_answer(*context, kInstructionNames[static_cast<std::size_t>(instruction.what)], arrived),
-               send_final_answer(*context, instruction,
-                                 client_keeps_alive && !node_.closes_connections_after_answer());
+      else return end_invocation(*context, instruction, client_keeps_alive);
     }
   } catch (const std::exception& failure) {
     // Ends this invocation with a status that does not say whether a backend ran it.
@@ -415,6 +412,25 @@
   }
 }
 
+// Carries out the final instruction of an invocation. False: the connection is over.
+bool ClientConnection::end_invocation(InvocationContext& context, const core::Instruction& instruction,
+                                      bool client_keeps_alive) {
+  context.client_access.end();
+  note_end_of_body(context);
+  trace_answer(context, kInstructionNames[static_cast<std::size_t>(instruction.what)]);
+  return send_final_answer(context, instruction,
+                           client_keeps_alive && !node_.closes_connections_after_answer());
+}
+
+// The client waits for its answer from the last byte of its request on. Where the body was streamed, that
+// byte came after the invocation was accepted.
+void ClientConnection::note_end_of_body(InvocationContext& context) {
+  if (!context.streamed_body || !context.streamed_body->last_byte_at()) return;
+  context.arrived = *context.streamed_body->last_byte_at();
+  context.read_at = std::max(context.read_at, context.arrived);
+  context.client_deadline = context.arrived + std::chrono::milliseconds(context.request.remaining_ms);
+}
+
 // Cancels a hand-off that is in flight.
 void ClientConnection::cancel(const InvocationContext& context, int number) {
   const auto n = static_cast<std::size_t>(number);
@@ -423,15 +439,14 @@
 
 // Logs the end of a request. The transaction id links this event to those of the connection, the hand-offs
 // and the answer.
-void ClientConnection::trace_answer(const InvocationContext& context, std::string_view outcome,
-                                    TenthsOfMs arrived) const {
+void ClientConnection::trace_answer(const InvocationContext& context, std::string_view outcome) const {
   if (!log::wanted(log::Level::debug)) return;
   log::event("answered",
              {{"transaction", std::string_view(context.request.transaction)},
               {"connection", id_},
               {"how", outcome},
               {"hand_offs", std::uint64_t{context.exchanges.size()}},
-              {"held_ms", std::int64_t{(node_.clock_.now() - arrived) / kTenthsPerMs}},
+              {"held_ms", milliseconds_between(context.arrived, TimePoint::clock::now())},
               {"told_ms", context.request.remaining_ms},
               {"read_late_ms", milliseconds_between(context.arrived, context.read_at)}},
              log::Level::debug);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -92,7 +92,10 @@
   bool invoke(const std::shared_ptr<InvocationContext>& context, TenthsOfMs arrived);
   bool send_final_answer(const InvocationContext& context, const core::Instruction& instruction,
                          bool keep_open);
-  void trace_answer(const InvocationContext& context, std::string_view outcome, TenthsOfMs arrived) const;
+  bool end_invocation(InvocationContext& context, const core::Instruction& instruction,
+                      bool client_keeps_alive);
+  static void note_end_of_body(InvocationContext& context);
+  void trace_answer(const InvocationContext& context, std::string_view outcome) const;
   static void cancel(const InvocationContext& context, int number);
   static void finish_hand_off(Node& node, const InvocationContext& context, int number,
                               ExchangeResult result);
--- a/src/net/streamed_body.cpp
+++ b/src/net/streamed_body.cpp
@@ -35,13 +35,18 @@
       look();
       read_result = remaining_body_.next_buffered(
           reader_, std::min(deadline, TimePoint::clock::now() + kMaxAccessTime), piece);
-      if (remaining_body_.whole()) answer_deadline_ = arrival_.arrival() + answer_time_;
+      if (remaining_body_.whole()) set_read_whole();
     });
     if (!has_access) return ReadResult::cut;
   }
   return read_result;
 }
 
+void StreamedBody::set_read_whole() {
+  last_byte_at_ = arrival_.arrival();
+  answer_deadline_ = *last_byte_at_ + answer_time_;
+}
+
 TimePoint StreamedBody::answer_deadline() {
   if (remaining_body_.whole()) return is_sent() || !access_.has_ended() ? answer_deadline_ : TimePoint::min();
   return access_.with_connection([this] { look(); }) ? answer_deadline_ : TimePoint::min();
--- a/src/net/streamed_body.h
+++ b/src/net/streamed_body.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/upload_estimate.h"
@@ -35,12 +36,16 @@
   bool is_partly_consumed() const { return is_partly_consumed_; }
   // Notes that the whole body has been written to the backend.
   void set_sent() { sent_at_ = TimePoint::clock::now(); }
+  // When the client wrote the last byte, as far as is known; empty: it has not been read. Only valid once the
+  // access to the client's connection has ended.
+  std::optional<TimePoint> last_byte_at() const { return last_byte_at_; }
   // The epoch of the clock: the body has not been written whole.
   TimePoint sent_at() const { return sent_at_; }
 
  private:
   bool is_sent() const { return sent_at_ != TimePoint(); }
   void look();
+  void set_read_whole();
   void add_look(TimePoint now, std::size_t unread);
 
   ConnectionAccess& access_;
@@ -51,6 +56,7 @@
   const std::chrono::milliseconds answer_time_;
   core::UploadEstimate upload_;
   TimePoint answer_deadline_;  // of the last look
+  std::optional<TimePoint> last_byte_at_;
   bool is_partly_consumed_ = false;
   TimePoint sent_at_;
 };
--- a/tests/slow_answer_test.cpp
+++ b/tests/slow_answer_test.cpp
@@ -1,6 +1,8 @@
 // Long answers that a backend of good will writes slowly, and those that stop: real processes.
 #include <fmt/format.h>
 
+#include <future>
+
 #include "faulty_node.h"
 
 using namespace faulty_node;
@@ -52,8 +54,59 @@
   };
 }
 
+// A request whose first part is read at once, and whose rest comes over `rest_ms`.
+struct SlowUpload {
+  std::string workload;
+  bool is_chunked;
+  int limit_ms, rest_ms;
+};
+
+// Sends it, and returns the body of its answer; empty: it has not come whole.
+std::string answer_to(const std::string& address, const SlowUpload& upload, std::size_t answer_bytes) {
+  constexpr std::size_t kPieces = 20, kPieceBytes = 5000;
+  const auto framed = [&upload](const std::string& piece) {
+    return upload.is_chunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : piece;
+  };
+  const std::string first(kMaxBufferedRequestBytes, 'x'), piece(kPieceBytes, 'y');
+  const std::string framing = upload.is_chunked ? "Transfer-Encoding: chunked"
+                                                : fmt::format("Content-Length: {}", first.size() + kPieces * piece.size());
+  const std::string head = fmt::format("POST /{0}/x HTTP/1.1\r\nX-Txn: {0}-{1}\r\nIdempotency-Key: k\r\nX-Remaining-Ms: {2}\r\n{3}\r\n\r\n",
+                                       upload.workload, upload.is_chunked, upload.limit_ms, framing);
+  const Fd fd = new_socket();
+  if (connect_to(fd.get(), parse_address(address), soon()) != IoResult::done) return "";
+  write_all(fd.get(), head + framed(first), soon());
+  const TimePoint began = TimePoint::clock::now();
+  for (std::size_t i = 1; i <= kPieces; ++i) {
+    std::this_thread::sleep_until(began + milliseconds(upload.rest_ms) * i / kPieces);
+    write_all(fd.get(), framed(piece) + (upload.is_chunked && i == kPieces ? "0\r\n\r\n" : ""), soon());
+  }
+  Reader in(fd.get());
+  Response r;
+  const bool is_whole = read_response(in, soon(), r, 2 * answer_bytes) == ReadResult::whole && r.status == 200;
+  return is_whole ? r.body : "";
+}
+
 }  // namespace
 
+// Guards against an answer that is cut at a pause inside its client's limit, where that limit counted from the part of
+// the request's body that was read at once.
+TEST_CASE("an answer to a body that came slowly may pause until its client's limit, which counts from the last byte", "[answers]") {
+  constexpr int kLimit = 2000;
+  // Longer than what is kept of an answer, which so begins at once; then one pause, longer than any that is waited for past a limit.
+  const Manner manner{"one pause", 1'200'000, 100'000, 1300, 0, 1'300'000, kLimit};
+  const Form framing = GENERATE(Form::length, Form::chunked, Form::to_end);
+  const bool may_cancel = GENERATE(true, false);
+  INFO("framing " << static_cast<int>(framing) << ", cancel " << may_cancel);
+  const std::string body = body_of(manner.whole_bytes);
+  FaultyNode node("", writes(manner, framing, body), false, "", {}, may_cancel);
+  REQUIRE(node.comes_up());
+  std::vector<std::future<std::string>> answers;
+  for (const char* workload : {"order", "pay"})
+    for (const bool is_chunked : {false, true})
+      answers.push_back(std::async(std::launch::async, answer_to, node.address(), SlowUpload{workload, is_chunked, kLimit, kLimit + 200}, body.size()));
+  for (auto& answer : answers) CHECK((answer.get() == body));
+}
+
 TEST_CASE("a long answer that its backend still writes, with pauses or past its request's limit, reaches its client whole", "[answers]") {
   const auto manner = GENERATE(values<Manner>({{"lumps", 30000, 30000, 350, 350, 171311, 1000},
                                                {"lumps, short limit", 30000, 30000, 300, 300, 188924, 772},
