A request's X-Pressure is checked like every other header

Cause: parse_head() excuses X-Pressure from the check for control characters, so that an unreadable load report spoils no answer. It did so for requests too, where that line is forwarded as it came. A head that comes in parts was refused by is_head_prefix(); only one that came whole got through.

Change: the excuse holds for the heads of responses only, whose load report is neither read nor passed on. It was the only exception in the check of a head, so no header of a request with a control character is forwarded any more.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -72,6 +72,12 @@
   }
 }
 
+// An unreadable load report must not invalidate the response that contains it. Requests carry none: theirs
+// would be forwarded as it came.
+bool is_load_report(std::string_view header_name, MessageKind kind) {
+  return kind == MessageKind::response && equals_ignoring_case(header_name, kPressureHeader);
+}
+
 // Reads the headers that the balancer needs; false: one is repeated, invalid or missing.
 bool parse_fields(const Head& head, Request& request) {
   for (std::string_view name : {kRemainingMsHeader, kTenantHeader, kTransactionHeader, kIdempotencyKeyHeader,
@@ -209,9 +215,8 @@
     // Folded lines, spaces before the colon and bare line ends are interpreted differently by different
     // programs, which allows request smuggling.
     const std::string_view name = line.substr(0, colon_at);
-    // An unreadable load report must not invalidate the response that contains it.
     if (colon_at == std::string_view::npos || !is_token(name) ||
-        (!is_text(line.substr(colon_at)) && !equals_ignoring_case(name, kPressureHeader)))
+        (!is_text(line.substr(colon_at)) && !is_load_report(name, kind)))
       return std::nullopt;
     if (kRead.contains(name))
       head.add_known({name, trimmed(line.substr(colon_at + 1)),
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -97,6 +97,40 @@
   }
 }
 
+// Guards against a request that hides another behind a bare line end in a header that is forwarded: a backend may let that end a line.
+TEST_CASE("a request's header with a control character is refused whatever its name and however it comes", "[http]") {
+  const std::string name = GENERATE(as<std::string>(), "X-Pressure", "x-pressure", "X-Txn", "X-Org", "Idempotency-Key", "X-Resent", "X-Estimate",
+                                    "X-Remaining-Ms", "Content-Type", "Host", "Connection", "TE", "X-Odd");
+  const std::string control = GENERATE(as<std::string>(), "\n", "\n\n", "\r", "\n\r", std::string(1, '\0'), "\x0b", "\x1f", "\x7f");
+  const bool comes_in_parts = GENERATE(false, true);
+  INFO(name << ", control character " << static_cast<int>(control[0]) << ", in parts " << comes_in_parts);
+  const std::string hidden = "POST /pay/x HTTP/1.1\nX-Txn: inner\nContent-Length: 0\n\n";
+  const std::string begin = "POST /view HTTP/1.1\r\n" + kHeaders + "Content-Length: 3\r\n" + name + ": a" + control + hidden;
+  const std::string end = "\r\n\r\nabc";
+  Pipe p(comes_in_parts ? begin : begin + end, false);
+  Reader in(p.here.get());
+  if (comes_in_parts) {
+    in.read_partial_head();
+    REQUIRE(write_all(p.there.get(), end, soon()) == IoResult::done);
+  }
+  BadRequest bad;
+  CHECK_FALSE(read_whole(in, soon(), bad));
+  CHECK(bad.status == 400);
+}
+
+// Guards against the same in the whole node: nothing of such a request reaches a backend.
+TEST_CASE("a request that hides another in its load report reaches no backend", "[http]") {
+  const std::string hidden = GENERATE(as<std::string>(), "util=0.5\n\nPOST /pay/x HTTP/1.1\nX-Txn: inner\nX-Remaining-Ms: 900\nContent-Length: 0\n\n",
+                                      "util=0.5\nTransfer-Encoding: chunked");
+  const std::string workload = GENERATE("view", "order", "pay");
+  Server backend(always(ok("done")));
+  Fleet fleet({backend.address()});
+  Visitor visitor(fleet.node);
+  CHECK(visitor.ask(replaced(request(workload), "X-Org: a", "X-Pressure: " + hidden)).status == 400);
+  CHECK(backend.connections() == 0);
+  CHECK(Visitor(fleet.node).ask(replaced(request(workload), "X-Org: a", "X-Pressure: util=0.5")).status == 200);
+}
+
 TEST_CASE("a slow sender is told so at the limit", "[http]") {
   Pipe p("GET /view HTTP/1.1\r\nX-Txn", false);
   Reader in(p.here.get());
