A stop goes by the time limits of the settings in the file, and follows a last reload

Cause: serve() planned the stop from Node::settings(), whose workloads are the registry's by index. A workload that vanished, or whose terms changed, stays there until another one takes its index, with its old time limit. A second way to the same: SIGHUP is applied in the background, so with SIGTERM right behind it the plan was made from the settings before.

Evidence: with the new file in force for 7 s nothing of the old classes was under way, yet the log had "stop stage=leaving" at 2475 ms, three quarters of the 3.3 s that go with a limit of 3 s, and the node still ran 2.7 s after SIGTERM.

Change: the node plans the stop itself, from the settings as the file names them (stop_before_kill), under the lock that a reload holds. A reload that is applied while the node stops shortens the plan where its limits are shorter, and never extends it: the platform may count by either file. All waits of a stop look at the plan anew.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,13 +28,6 @@
 constexpr std::string_view kVersion = "0.3.0";
 constexpr std::chrono::milliseconds kLogPatience{150};  // at the end, for lines that are not written yet
 
-core::ShutdownPlan plan_shutdown(const Settings& settings) {
-  std::chrono::milliseconds longest{0};
-  for (const Workload& w : settings.workloads)
-    longest = std::max(longest, std::chrono::milliseconds(w.time_limit / 10));
-  return core::plan_shutdown(longest);
-}
-
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
   return value == nullptr ? "" : value;
@@ -147,7 +140,7 @@
     if (got == SIGHUP) node.reload_in_background(path);
     else log::info("{}", node.counters_text());
   }
-  node.stop(plan_shutdown(*node.settings()));
+  node.stop_before_kill();
   log::info("{}", node.counters_text());
   return 0;
 }
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -145,6 +145,19 @@
   return text;
 }
 
+std::int64_t milliseconds_since(TimePoint when) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(TimePoint::clock::now() - when).count();
+}
+
+// `settings` as the file names them: what only requests under way still use has no say in when the platform
+// kills the process.
+ShutdownPlan plan_by_time_limits(const Settings& settings) {
+  std::chrono::milliseconds longest{0};
+  for (const Workload& workload : settings.workloads)
+    longest = std::max(longest, std::chrono::milliseconds(workload.time_limit / 10));
+  return core::plan_shutdown(longest);
+}
+
 }  // namespace
 
 Node::Node(Config config)
@@ -563,6 +576,7 @@
     if (peers_ && new_config.peers != config_.peers) peers_->move(new_config.peers);
     config_.peers = new_config.peers;
     config_.settings = new_config.settings;
+    shorten_shutdown(config_.settings);
     config_.given = new_config.given;
     config_.discovery_in_file = new_config.discovery_in_file;
     ++counters_.reloads;
@@ -676,18 +690,69 @@
 }
 
 void Node::stop(const ShutdownPlan& plan) {
-  if (!node_state_.stop()) return;
-  log::info("stopping");
+  if (begin_shutdown(plan, TimePoint::clock::now())) run_shutdown();
+}
+
+void Node::stop_before_kill() {
   const TimePoint requested_at = TimePoint::clock::now();
-  const bool has_deadline = plan.answer_within.count() >= 0;
-  if (has_deadline)
-    balancer_.answer_all_by(clock_.now() + plan.answer_within.count() * 10),
-        answer_deadline_ = requested_at + plan.answer_within;
+  {
+    std::lock_guard settings_guard(settings_lock_);
+    if (!begin_shutdown(plan_by_time_limits(config_.settings), requested_at)) return;
+    is_shutdown_by_time_limits_ = true;
+  }
+  run_shutdown();
+}
+
+bool Node::begin_shutdown(const ShutdownPlan& plan, TimePoint requested_at) {
+  if (!node_state_.stop()) return false;
+  log::info("stopping");
+  {
+    std::lock_guard lock(lock_);
+    stop_requested_at_ = requested_at;
+    shutdown_plan_ = plan;
+  }
+  announce_shutdown_plan(plan, requested_at);
+  return true;
+}
+
+void Node::announce_shutdown_plan(const ShutdownPlan& plan, TimePoint requested_at) {
+  if (plan.answer_within.count() < 0) return;
+  const TimePoint answer_by = requested_at + plan.answer_within;
+  log::event("stop_planned", {{"answer_within_ms", std::int64_t{plan.answer_within.count()}}});
+  balancer_.answer_all_by(clock_.to_ticks(answer_by));
+  answer_deadline_ = answer_by;
+  changed_.notify_all();
+}
+
+// The platform may have sent SIGHUP and SIGTERM one right after the other, and times the kill by the new
+// file.
+void Node::shorten_shutdown(const Settings& settings) {
+  if (!is_shutdown_by_time_limits_) return;
+  const ShutdownPlan plan = plan_by_time_limits(settings);
+  TimePoint requested_at;
+  {
+    std::lock_guard lock(lock_);
+    if (plan.answer_within >= shutdown_plan_.answer_within) return;
+    shutdown_plan_ = plan;
+    requested_at = stop_requested_at_;
+  }
+  announce_shutdown_plan(plan, requested_at);
+}
+
+template <class Condition>
+void Node::wait_for_phase_end(std::unique_lock<std::mutex>& lock,
+                              std::chrono::milliseconds ShutdownPlan::*phase, Condition is_over) {
+  for (;;) {
+    const TimePoint phase_end = stop_requested_at_ + shutdown_plan_.*phase;
+    if (is_over() || TimePoint::clock::now() >= phase_end) return;
+    changed_.wait_until(lock, phase_end);
+  }
+}
+
+void Node::run_shutdown() {
   const auto log_phase = [&](std::string_view name, std::size_t open) {
-    const auto ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(TimePoint::clock::now() - requested_at).count();
     log::event("stop", {{"stage", name},
-                        {"ms", std::int64_t{ms}},
+                        {"ms", milliseconds_since(stop_requested_at_)},
                         {"clients", std::uint64_t{open}},
                         {"held", counters_.open.load()}});
   };
@@ -701,21 +766,21 @@
   // A successor accepts the clients' next connections, so each connection is closed after its next answer,
   // and an idle connection after a time in which most clients have sent a request.
   if (is_handing_over_)
-    changed_.wait_until(lock, requested_at + kDrainNoticeTime, [this] { return open_connections_ == 0; });
-  else changed_.wait_until(lock, requested_at + plan.accept_for, [] { return false; });
+    changed_.wait_until(lock, stop_requested_at_ + kDrainNoticeTime,
+                        [this] { return open_connections_ == 0; });
+  else wait_for_phase_end(lock, &ShutdownPlan::accept_for, [] { return false; });
   // Clients use their connections for as long as these stay open, and may know no other node. When
   // connections were closed at once, stopping two nodes one after the other left all requests without a node.
   if (!is_handing_over_)
-    changed_.wait_until(lock, requested_at + plan.keep_connections_for,
-                        [this] { return open_connections_ == 0; });
+    wait_for_phase_end(lock, &ShutdownPlan::keep_connections_for, [this] { return open_connections_ == 0; });
   is_closing_connections_ = true;
   log_phase("leaving", open_connections_);
   while (open_connections_ > 0 || !accept_loop_ended_) {
     lock.unlock();
-    const bool is_past_deadline = has_deadline && TimePoint::clock::now() > requested_at + plan.answer_within;
+    const bool is_past_deadline = TimePoint::clock::now() > answer_deadline_.load();
     idle_connections_.close_idle(is_past_deadline);
     if (is_past_deadline) abort_slow_reads({});
-    else if (!is_handing_over_ || TimePoint::clock::now() > requested_at + kMaxHeadTime)
+    else if (!is_handing_over_ || TimePoint::clock::now() > stop_requested_at_ + kMaxHeadTime)
       abort_slow_reads(kSlowReadTime);
     lock.lock();
     changed_.wait_for(lock, std::chrono::milliseconds(20),
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -60,6 +60,9 @@
   // Shuts down gracefully: blocks until every open invocation is answered and every thread has ended. `plan`
   // says how long each phase lasts. Later calls have no effect and return at once.
   void stop(const ShutdownPlan& plan);
+  // The same, with the plan that completes before the SIGKILL which follows SIGTERM by the longest time limit
+  // of the settings. A reload that is applied meanwhile may shorten the plan.
+  void stop_before_kill();
   // drain() makes the node report that it is not ready and close its client connections, without losing what
   // the node has learned. activate() reverses this. Both may be repeated, and return false once the node is
   // stopping.
@@ -72,7 +75,8 @@
   std::optional<std::string> members() const;
   // All counters as text, a line each.
   std::string counters_text() const;
-  std::shared_ptr<const Settings> settings() const;  // in force now
+  // In force now. Includes workloads that a reload removed or changed, as long as their index is not reused.
+  std::shared_ptr<const Settings> settings() const;
   // Reads the configuration file and applies its settings to invocations that arrive from then on. A
   // discovery address that differs from the one in the previous file replaces the address in use, wherever
   // that came from. If anything in the file is wrong, the node logs the reason and keeps its whole
@@ -121,6 +125,17 @@
   void run_reloads();  // applies each file that the file reader has read, until the reader stops
   void reload_from(const std::string& text, const std::string& path);
   void report_reload_failure(const std::string& path, std::string_view why);
+  bool begin_shutdown(const ShutdownPlan& plan, TimePoint requested_at);  // false: it has begun before
+  // Tells those that answer requests by when all have to be answered.
+  void announce_shutdown_plan(const ShutdownPlan& plan, TimePoint requested_at);
+  // Follows settings that were applied during a shutdown by time limits, if they shorten it. The caller holds
+  // settings_lock_.
+  void shorten_shutdown(const Settings& settings);
+  // Waits until a phase of the shutdown is over by its plan, or `is_over()`. `lock` holds lock_.
+  template <class Condition>
+  void wait_for_phase_end(std::unique_lock<std::mutex>& lock, std::chrono::milliseconds ShutdownPlan::*phase,
+                          Condition is_over);
+  void run_shutdown();  // returns once every thread has ended
   void start_thread(std::string_view what, const std::function<void()>& job);
   // The system reported a receive time of a client connection. Starts the check of such times, once.
   void request_system_time_check();
@@ -188,7 +203,12 @@
   // most 1000000. 0: the membership is off or has not reported a share yet, and the settings give the number.
   // Guarded by settings_lock_.
   int node_count_ = 0;
-  std::mutex settings_lock_;            // serializes changes of config_ and of the balancer's settings
+  std::mutex settings_lock_;  // serializes changes of config_ and of the balancer's settings
+  // The shutdown goes by the time limits of the settings. Guarded by settings_lock_.
+  bool is_shutdown_by_time_limits_ = false;
+  // Set once by begin_shutdown().
+  TimePoint stop_requested_at_;
+  ShutdownPlan shutdown_plan_;          // guarded by lock_
   std::atomic<bool> is_paired_{false};  // another process of this node is running
   // The node stops, and a successor process accepts new connections.
   std::atomic<bool> is_handing_over_{false};
