A request keeps whether its attempts may be cancelled, across reloads

Cause: two halves of the program went by different settings. The decisions went by the newest settings, and sent none after the reload. The final answer was decided in time and queued, but its thread sat in the hand-off.

The design says already that what is under way keeps its terms.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -39,7 +39,8 @@
   }
   handle_event(
       lock, Arrival{invocation->index, incoming.workload, incoming.tenant, incoming.valid_until,
-                    incoming.hint, incoming.is_client_retry, incoming.has_streaming_body, incoming.arrived});
+                    incoming.hint, incoming.is_client_retry, incoming.has_streaming_body, incoming.arrived,
+                    incoming.may_cancel});
   return invocation;
 }
 
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "core/clock.h"
@@ -32,6 +33,9 @@
   std::shared_ptr<const void> workload_reference;
   // When the last byte of the request arrived. A time after accept() counts as the time of accept().
   TenthsOfMs arrived = INT64_MAX;
+  // Whether its hand-offs may be cancelled, until its end; empty: as the settings say when it is accepted.
+  // A caller that runs hand-offs itself relies on their cancellation.
+  std::optional<bool> may_cancel = std::nullopt;
 };
 
 // What the caller of next_instruction() does. kInstructionNames in src/net/ names the values in this order.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -175,6 +175,7 @@
   // The body is still arriving; the body cannot be sent again.
   bool has_streaming_body = false, is_body_consumed = false;
   bool is_queued = false;  // has no hand-off in flight and waits in queue_
+  bool may_cancel = false;  // as set at its arrival: whoever runs its hand-offs relies on it
   Index workload = 0;
   TenthsOfMs arrived = 0, valid_until = 0;
   double work = 0;
@@ -315,6 +316,7 @@
     invocation.valid_until = std::min(arrival.valid_until, answer_by_);
     invocation.is_client_retry = arrival.is_client_retry;
     invocation.max_hand_offs = max_hand_offs_;
+    invocation.may_cancel = arrival.may_cancel.value_or(may_cancel_);
     invocation.has_streaming_body = arrival.has_streaming_body;
     invocation.has_hint = arrival.hint > 0;
     invocation.work = invocation.has_hint ? arrival.hint : mean_latency_[arrival.workload];
@@ -494,7 +496,7 @@
     invocation.is_open = false;
     stop_waiting(index);
     for (std::size_t number = 0; number < invocation.hand_offs.size(); ++number)
-      if (may_cancel_ && !invocation.is_answer_streaming &&
+      if (invocation.may_cancel && !invocation.is_answer_streaming &&
           invocation.hand_offs[number].execution == Execution::in_flight)
         actions_.push_back({ActionKind::cancel, index, kNone, static_cast<int>(number), 0});
   }
--- a/src/decide.h
+++ b/src/decide.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -120,6 +121,8 @@
   bool has_streaming_body = false;  // the body is still arriving: only one hand-off can forward it
   // When the last byte of its request arrived. A time after that of the event counts as that of the event.
   TenthsOfMs arrived = INT64_MAX;
+  // Whether its hand-offs may be cancelled, until its end; empty: as the settings say when it arrives.
+  std::optional<bool> may_cancel = std::nullopt;
 };
 // A hand-off ended. Every action hand_off leads to this event, also after a cancel.
 struct HandOffEnded {
@@ -174,7 +177,7 @@
 };
 
 // Replaces the settings for invocations that arrive from now on. Unfinished invocations keep the settings
-// of their workload and the maximum number of their hand-offs.
+// of their workload, the maximum number of their hand-offs and whether these may be cancelled.
 struct NewSettings {
   // Seed, zone, tick and slow_start_window keep their old values.
   std::shared_ptr<const Settings> settings;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -385,6 +385,7 @@
   }
   invocation.hint = request.hint_micros / 100;
   invocation.is_client_retry = request.is_client_retry;
+  invocation.may_cancel = context->request_config->may_cancel;
   const bool client_keeps_alive = request.keep_alive && may_keep_alive_;
   ++node_.counters_.taken;
   const OpenInvocationCount open_count(node_.counters_.open);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -81,6 +81,30 @@
   CHECK(fourth.workloads.size() <= 10);
 }
 
+// Guards against a hand-off that is not cancelled since newer settings bar it, though whoever runs it relies on that.
+TEST_CASE("whether hand-offs may be cancelled stays as it was when their invocation was accepted, or as its caller said", "[core]") {
+  const bool may_cancel = GENERATE(true, false);
+  // Its caller may have read the settings before they changed.
+  const std::optional<bool> callers_word = GENERATE(std::optional<bool>(), std::optional<bool>(true), std::optional<bool>(false));
+  Facade f(Semantics::idempotent);
+  const auto apply = [&f](bool allowed) {
+    Settings settings = Facade::settings(Semantics::idempotent);
+    settings.may_cancel = allowed;
+    f.balancer.apply_settings(std::make_shared<Settings>(settings), {0});
+  };
+  apply(may_cancel);
+  IncomingInvocation incoming;
+  incoming.valid_until = f.clock.now() + 1500 * kMs;
+  incoming.may_cancel = callers_word;
+  const InvocationHandle invocation = f.balancer.accept(incoming);
+  REQUIRE(f.balancer.next_instruction(invocation).what == InstructionKind::hand_off);
+  bool is_cancelled = false;
+  f.balancer.set_urgent_handler(invocation, [&](const Instruction& step) { return is_cancelled |= step.what == InstructionKind::cancel, true; });
+  apply(!may_cancel);
+  f.balancer.client_gone(invocation);
+  CHECK(is_cancelled == callers_word.value_or(may_cancel));
+}
+
 TEST_CASE("what is under way keeps the terms that it came with, and what comes has the new ones", "[core]") {
   Facade f(Semantics::idempotent, 9);
   const InvocationHandle before = f.accept();
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -1,4 +1,4 @@
-// Settings that change under a node, and a stop soon after.
+// Settings that change under a node: requests under way, and a stop soon after.
 #include <nlohmann/json.hpp>
 
 #include "faulty_node.h"
@@ -17,6 +17,10 @@
   std::filesystem::rename(path + ".new", path);
 }
 
+Edit sets_cancel(bool may_cancel) {
+  return [may_cancel](nlohmann::json& text) { text["settings"]["bounds"]["cancel"] = may_cancel; };
+}
+
 // Sets the time limit of all workloads but the first.
 Edit sets_other_limits(int limit_ms) {
   return [limit_ms](nlohmann::json& text) {
@@ -82,3 +86,72 @@
   node.program().signal(SIGTERM);
   CHECK(unanswered_at_kill(node, told, visitors) == 0);
 }
+
+// Guards against attempts that nobody ends: the thread that has to answer runs the attempt, and newer settings bar its cancellation.
+TEST_CASE("requests under way are answered before the kill though a reload changes whether attempts may be cancelled", "[ops]") {
+  const bool may_cancel = GENERATE(true, false);
+  const int reloads = GENERATE(1, 2);
+  INFO("cancel " << may_cancel << " at first, reloads " << reloads);
+  FaultyNode node("", no_news, false, "", {}, may_cancel);
+  REQUIRE(node.comes_up());
+  const auto visitors = hanging_requests(node, {"view", "order", "pay"}, 6000);
+  for (int i = 1; i <= reloads; ++i) {
+    edit_file(node.config_path(), sets_cancel((i % 2 == 1) != may_cancel));
+    node.program().signal(SIGHUP);
+    await_reloads(node, i);
+  }
+  const TimePoint told = TimePoint::clock::now();
+  node.program().signal(SIGTERM);
+  CHECK(unanswered_at_kill(node, told, visitors) == 0);
+}
+
+// Guards against the same where nothing stops: an attempt goes on for a client that has left.
+TEST_CASE("an attempt is ended as its client leaves though a reload has barred cancels meanwhile", "[ops]") {
+  const std::string workload = GENERATE("view", "order", "pay");
+  Flag reached, ended;
+  Server discovery(no_news), backend([&](const Server::Call& call) {
+    reached.set();
+    if (call.server.ended(call)) ended.set();
+    return std::string();
+  });
+  const File file(config_text(list(1, true, {backend.address()}), discovery.address()));
+  // An attempt whose answer would be worth nothing ends by itself.
+  edit_file(file.path(), [](nlohmann::json& text) {
+    for (auto& one : text["settings"]["workloads"]) one["due-time"] = one["time-limit"] = 60'000'000;
+  });
+  const auto node = std::make_unique<Node>(read_config(read_file(file.path())));
+  node->start();
+  Visitor visitor(*node);
+  visitor.send(request(workload, "x", 60000));
+  reached.await();
+  edit_file(file.path(), sets_cancel(false));
+  node->reload(file.path());
+  CHECK(node->counters().reloads == 1);
+  visitor.leave();
+  ended.await();
+}
+
+// Guards against the same for a second copy: its answer waits until the first attempt ends by itself.
+TEST_CASE("the answer of a second attempt is passed on at once though a reload has barred cancels meanwhile", "[ops]") {
+  Flag reached;
+  std::atomic<int> calls{0};
+  const auto first_hangs = [&](const Server::Call& call) {
+    if (calls++ > 0) return ok("the second one");
+    reached.set();
+    return no_news(call);
+  };
+  Server one(first_hangs), other(first_hangs), discovery(no_news);
+  const File file(config_text(list(1, true, {one.address(), other.address()}), discovery.address()));
+  const auto node = std::make_unique<Node>(read_config(read_file(file.path())));
+  node->start();
+  Visitor visitor(*node);
+  visitor.send(request("view", "", 12000));
+  const TimePoint sent = TimePoint::clock::now();
+  reached.await();
+  edit_file(file.path(), sets_cancel(false));
+  node->reload(file.path());
+  Response r;
+  REQUIRE(visitor.receive(r) == ReadResult::whole);
+  CHECK(r.body == "the second one");
+  CHECK(TimePoint::clock::now() - sent < milliseconds(6000));
+}
