An answer is acknowledged at once, so that what comes behind it comes while resting

Cause: a backend that leaves TCP_NODELAY off does not send a small write while the one before is not acknowledged. The node's system acknowledges an answer after up to 40 ms, or with the next request on that connection. A proven backend's connections rest for 20 ms; a look at the socket after them finds nothing, and the request that is written then brings the copy out, as the first bytes that answer it.

Change: a connection that is given back for reuse acknowledges what it has got (TCP_QUICKACK). The copy then comes within its own lateness, is found by the look before the next use, and the connection is closed. Resting longer than 40 ms would do too, at the price of more connections.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -116,6 +116,9 @@
 }
 
 void ConnectionPool::give_back(std::uint64_t instance_id, std::uint64_t address, Connection connection) {
+  // Bytes behind the answer that wait for its acknowledgement have to come while the connection rests, not with
+  // the next request.
+  acknowledge_now(connection.fd());
   const TimePoint now = TimePoint::clock::now();
   // Declared before the lock, so that a connection that is not kept is closed after the lock is released.
   PooledConnection pooled{address, now, std::move(connection)};
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -369,6 +369,11 @@
   return io == IoResult::done ? write_all(fd, body, limit) : io;
 }
 
+void acknowledge_now(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_QUICKACK, &on, sizeof on);
+}
+
 PeekResult peek_socket(int fd) {
   for (int tries = 0; tries < kMaxInterruptedCalls; ++tries) {
     char byte = 0;
--- a/tests/reuse_test.cpp
+++ b/tests/reuse_test.cpp
@@ -1,4 +1,7 @@
 // When a connection to a backend carries a second request.
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include "policy/connection_reuse.h"
 #include "stand_in.h"
 
@@ -73,6 +76,43 @@
   await_found_out(fleet.node);
 }
 
+// Guards against a second copy that its backend's system holds back until the answer is acknowledged, which the next request does.
+TEST_CASE("a second copy that waits for the answer's acknowledgement is not taken for the answer to the next request", "[net]") {
+  constexpr int kRequestsBefore = 40;  // after these the system of the node acknowledges late
+  constexpr milliseconds kLater{3}, kBetween{30};
+  const int round = GENERATE(range(0, 4));
+  INFO("round " << round);
+  std::atomic<bool> doubles{false};
+  const auto answer = answers_twice(doubles, kLater);
+  Server backend([&answer](const Server::Call& call) {
+    const int off = 0;
+    ::setsockopt(call.fd, IPPROTO_TCP, TCP_NODELAY, &off, sizeof off);
+    return answer(call);
+  });
+  Fleet fleet({backend.address()});
+  const auto asks = [&](int requests) {
+    int anothers = 0;
+    Visitor visitor(fleet.node);
+    for (int i = 0; i < requests; ++i) {
+      const std::string bytes = request("view");
+      const Response r = visitor.ask(bytes);
+      anothers += r.status == 200 && bytes.find("X-Txn: " + r.body + "\r\n") == bytes.npos;
+      std::this_thread::sleep_for(kBetween);
+    }
+    return anothers;
+  };
+  const TimePoint limit = soon();
+  for (int connections = -1; connections != backend.connections() && TimePoint::clock::now() < limit;) {
+    connections = backend.connections();
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(asks(2) == 0);
+  }
+  CHECK(asks(kRequestsBefore) == 0);
+  doubles = true;
+  CHECK(asks(4) == 0);
+  await_found_out(fleet.node);
+}
+
 TEST_CASE("connections rest briefly once their backend has proven quiet, and are not kept where it was not", "[core]") {
   using policy::ConnectionReuse;
   const policy::ReuseRules rules{milliseconds(20), milliseconds(100), milliseconds(1000), 2, milliseconds(5000)};
