Connections to backends are retired by the keepalive of the newest settings

A backend that closes idle connections sooner under the new settings could get a request written to one that it was about to close; that ends as a reset and may have run. The README names keepalive among nothing that needs a restart.

The pool follows the reload, for connections that are idle already too.

Test: "connections to backends are retired by the keepalive of the newest settings"; on the text before the row with a reload used one connection for 3 requests that were 0.7 s apart, with a keepalive of 1 s.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -37,10 +37,9 @@
     free_indices_.pop_back();
     invocations_[invocation->index] = invocation;
   }
-  handle_event(
-      lock, Arrival{invocation->index, incoming.workload, incoming.tenant, incoming.valid_until,
-                    incoming.hint, incoming.is_client_retry, incoming.has_streaming_body, incoming.arrived,
-                    incoming.may_cancel});
+  handle_event(lock, Arrival{invocation->index, incoming.workload, incoming.tenant, incoming.valid_until,
+                             incoming.hint, incoming.is_client_retry, incoming.has_streaming_body,
+                             incoming.arrived, incoming.may_cancel});
   return invocation;
 }
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -174,7 +174,7 @@
   bool is_client_retry = false;
   // The body is still arriving; the body cannot be sent again.
   bool has_streaming_body = false, is_body_consumed = false;
-  bool is_queued = false;  // has no hand-off in flight and waits in queue_
+  bool is_queued = false;   // has no hand-off in flight and waits in queue_
   bool may_cancel = false;  // as set at its arrival: whoever runs its hand-offs relies on it
   Index workload = 0;
   TenthsOfMs arrived = 0, valid_until = 0;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -567,6 +567,7 @@
     auto request_config =
         build_request_config(new_config.settings, new_config.names, indexed_settings, inherits_from);
     balancer_.apply_settings(indexed_settings, std::move(inherits_from));
+    pool_.set_idle_limit(idle_connection_limit(new_config.settings.keepalive));
     {
       std::lock_guard lock(lock_);
       request_config_.swap(request_config);
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -28,9 +28,15 @@
 
 ConnectionPool::ConnectionPool(ConnectionBudget& budget, std::chrono::steady_clock::duration idle_limit,
                                const policy::ReuseRules& rules, int socket_buffer)
-    : budget_(budget), idle_limit_(idle_limit), socket_buffer_(socket_buffer),
+    : budget_(budget), socket_buffer_(socket_buffer), rules_(rules), idle_limit_(idle_limit),
       reuse_(limited_by_idle_limit(rules, idle_limit)) {}
 
+void ConnectionPool::set_idle_limit(std::chrono::steady_clock::duration idle_limit) {
+  std::lock_guard lock(lock_);
+  idle_limit_ = idle_limit;
+  reuse_.set_rules(limited_by_idle_limit(rules_, idle_limit));
+}
+
 // The descriptor is closed before it is given back to the budget, which limits open descriptors.
 ConnectionPool::Connection::~Connection() {
   fd_.reset();
@@ -71,8 +77,10 @@
   // The connection used last is taken first, so that surplus connections expire.
   for (;;) {
     std::optional<PooledConnection> found;
+    std::chrono::steady_clock::duration idle_limit;
     {
       std::lock_guard lock(lock_);
+      idle_limit = idle_limit_;
       const auto entry = idle_.find(instance_id);
       if (entry == idle_.end()) return std::nullopt;
       const TimePoint idle_before = TimePoint::clock::now() - reuse_.cooldown(instance_id);
@@ -85,7 +93,7 @@
     }
     // The backend closes the connection at its stated idle time: a request written then is lost, and may
     // count as executed.
-    if (found->address == address && TimePoint::clock::now() - found->idle_since < idle_limit_ &&
+    if (found->address == address && TimePoint::clock::now() - found->idle_since < idle_limit &&
         is_quiet(instance_id, *found))
       return std::move(found->connection);
   }
@@ -116,8 +124,8 @@
 }
 
 void ConnectionPool::give_back(std::uint64_t instance_id, std::uint64_t address, Connection connection) {
-  // Bytes behind the answer that wait for its acknowledgement have to come while the connection rests, not with
-  // the next request.
+  // Bytes behind the answer that wait for its acknowledgement have to come while the connection rests, not
+  // with the next request.
   acknowledge_now(connection.fd());
   const TimePoint now = TimePoint::clock::now();
   // Declared before the lock, so that a connection that is not kept is closed after the lock is released.
@@ -128,8 +136,11 @@
 
 void ConnectionPool::close_expired() {
   check_idle_connections();
-  close_expired(idle_limit_);
-  std::lock_guard lock(lock_);
+  std::unique_lock lock(lock_);
+  const auto idle_limit = idle_limit_;
+  lock.unlock();
+  close_expired(idle_limit);
+  lock.lock();
   reuse_.forget_before(TimePoint::clock::now() - kForgetAfter);
 }
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -41,6 +41,9 @@
   ConnectionPool(ConnectionBudget& budget, std::chrono::steady_clock::duration idle_limit,
                  const policy::ReuseRules& rules, int socket_buffer = 0);
 
+  // Replaces the idle limit, also for connections that are idle now.
+  void set_idle_limit(std::chrono::steady_clock::duration idle_limit);
+
   // Memory that the system may use for what one connection buffers.
   std::size_t socket_bytes() const {
     return static_cast<std::size_t>(socket_buffer_) * kSocketBytesPerOptionUnit;
@@ -85,10 +88,11 @@
 
   std::mutex lock_;  // never held while a connection is checked or closed
   ConnectionBudget& budget_;
-  const std::chrono::steady_clock::duration idle_limit_;
   const int socket_buffer_;
-  policy::ConnectionReuse reuse_;  // guarded by lock_
-  ByInstance idle_;                // guarded by lock_
+  const policy::ReuseRules rules_;                  // without the limit by idle_limit_
+  std::chrono::steady_clock::duration idle_limit_;  // guarded by lock_
+  policy::ConnectionReuse reuse_;                   // guarded by lock_
+  ByInstance idle_;                                 // guarded by lock_
   std::atomic<std::uint64_t> unsolicited_count_{0};
 };
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -106,8 +106,8 @@
 // Writes head and body. A body over 4096 bytes is not copied behind its head, because a node with many
 // clients would hold every such body twice.
 IoResult write_head_and_body(int fd, std::string head, std::string_view body, const WriteLimit& limit);
-// Acknowledges at once what has arrived, where the system would wait for more. A peer that leaves TCP_NODELAY off
-// holds its next small write back until then. A failure is ignored.
+// Acknowledges at once what has arrived, where the system would wait for more. A peer that leaves TCP_NODELAY
+// off holds its next small write back until then. A failure is ignored.
 void acknowledge_now(int fd);
 // What a peek at the unread bytes found. unknown: the peek failed and says nothing about the connection.
 enum class PeekResult { none, bytes, ended, broken, unknown };
--- a/src/policy/connection_reuse.h
+++ b/src/policy/connection_reuse.h
@@ -36,6 +36,8 @@
   using BackendInstanceId = std::uint64_t;
 
   explicit ConnectionReuse(const ReuseRules& rules) : rules_(rules) {}
+  // Replaces the rules. What is known of the backends stays.
+  void set_rules(const ReuseRules& rules) { rules_ = rules; }
   // No byte arrived on a connection that was idle for `idle_time`. Has no effect if `idle_time` is shorter
   // than proving_cooldown().
   void record_quiet(BackendInstanceId backend, Duration idle_time, TimePoint now);
@@ -56,7 +58,7 @@
     bool was_distrusted = false;
     TimePoint distrusted_until, updated_at;
   };
-  const ReuseRules rules_;
+  ReuseRules rules_;
   std::map<BackendInstanceId, Record> records_;
 };
 
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -131,7 +131,27 @@
   ended.await();
 }
 
-// Guards against the same for a second copy: its answer waits until the first attempt ends by itself.
+// Guards against connections that are used for as long as the first settings said: their backend closes them sooner, and loses a request.
+TEST_CASE("connections to backends are retired by the keepalive of the newest settings", "[ops]") {
+  constexpr milliseconds kIdle{700};  // longer than half of the new keepalive, and far below the first one
+  Server discovery(no_news), backend(always(ok("done")));
+  const File file(config_text(list(1, true, {backend.address()}), discovery.address()));
+  const auto node = std::make_unique<Node>(read_config(read_file(file.path())));
+  node->start();
+  const bool reloads = GENERATE(false, true);
+  if (reloads) {
+    edit_file(file.path(), [](nlohmann::json& text) { text["settings"]["bounds"]["keepalive"] = 1'000'000; });
+    node->reload(file.path());
+  }
+  Visitor visitor(*node);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(visitor.ask(request("view")).status == 200);
+    std::this_thread::sleep_for(kIdle);
+  }
+  CHECK(backend.connections() == (reloads ? 3 : 1));
+}
+
+// Guards against the answer of a second copy that waits until the first attempt ends by itself, which newer settings bar from being cancelled.
 TEST_CASE("the answer of a second attempt is passed on at once though a reload has barred cancels meanwhile", "[ops]") {
   Flag reached;
   std::atomic<int> calls{0};
