An answer's load report may hold a bare line end however its head is cut

Found while the excuse for X-Pressure was looked at in the other direction: a good answer with a load report that can't be read is to be served, but with a bare line end in the report it was served only where its head came whole. In parts it was refused by is_head_prefix() as no HTTP: a failed attempt that has run.

The look at an incomplete head passes over the line of a response's load report, as the look at a whole one does. Nothing of the report is read or passed on.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -78,6 +78,16 @@
   return kind == MessageKind::response && equals_ignoring_case(header_name, kPressureHeader);
 }
 
+// Whether the byte at `position`, which is part of no line end, lies in the line of a load report.
+bool is_in_load_report(std::string_view bytes, std::size_t position, MessageKind kind) {
+  const std::size_t line_end = bytes.rfind(kLineEnd, position);
+  if (line_end == std::string_view::npos) return false;
+  const std::size_t line_start = line_end + kLineEnd.size();
+  const std::string_view line = bytes.substr(line_start, position - line_start);
+  const std::size_t colon_at = line.find(':');
+  return colon_at != std::string_view::npos && is_load_report(line.substr(0, colon_at), kind);
+}
+
 // Reads the headers that the balancer needs; false: one is repeated, invalid or missing.
 bool parse_fields(const Head& head, Request& request) {
   for (std::string_view name : {kRemainingMsHeader, kTenantHeader, kTransactionHeader, kIdempotencyKeyHeader,
@@ -234,8 +244,13 @@
   const std::string_view method = bytes.substr(0, bytes.find(' '));
   if (kind == MessageKind::request && (method.size() > kMaxMethodSize || !is_token(method))) return false;
   for (std::size_t i = checked_size; i < bytes.size(); ++i) {
-    if (bytes[i] == '\n' && (i == 0 || bytes[i - 1] != '\r')) return false;
-    if (bytes[i] == '\r' && i + 1 < bytes.size() && bytes[i + 1] != '\n') return false;
+    const bool is_bare_line_feed = bytes[i] == '\n' && (i == 0 || bytes[i - 1] != '\r');
+    const bool is_bare_return = bytes[i] == '\r' && i + 1 < bytes.size() && bytes[i + 1] != '\n';
+    if (!is_bare_line_feed && !is_bare_return) continue;
+    if (!is_in_load_report(bytes, i, kind)) return false;
+    // The rest of the report may hold anything as well.
+    i = bytes.find(kLineEnd, i + 1);
+    if (i == std::string_view::npos) return true;
   }
   return true;
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -232,6 +232,36 @@
   }
 }
 
+// Guards against a good answer that is given up, or not, by how the bytes of its load report are cut.
+TEST_CASE("a load report with a bare line end spoils no answer however it comes", "[http]") {
+  const std::string report = GENERATE(as<std::string>(), "util\n", "\nContent-Length: 9", "a\rb\rc", "\n\n", "a\n\rb", std::string(2000, '\n'));
+  const std::string bytes = "HTTP/1.1 200 OK\r\nx-pressure: " + report + "\r\nContent-Length: 3\r\n\r\nabc";
+  const std::string_view head = std::string_view(bytes).substr(0, bytes.find("\r\n\r\n") + 2);
+  for (std::size_t cut = 3; cut < head.size(); ++cut) {
+    INFO("cut at " << cut);
+    REQUIRE(is_head_prefix(head.substr(0, cut), 0, MessageKind::response));
+    REQUIRE(is_head_prefix(head, cut - 3, MessageKind::response));
+  }
+  Pipe p(bytes);
+  Reader in(p.here.get());
+  Response r;
+  CHECK(read_response(in, soon(), r) == ReadResult::whole);
+  CHECK(r.body == "abc");
+}
+
+// Guards against the same excuse for any other line of an answer, or for a request.
+TEST_CASE("a bare line end outside of an answer's load report can't become a head", "[http]") {
+  const auto [bytes, kind] = GENERATE(table<std::string, MessageKind>({
+      {"HTTP/1.1 200 OK\nX-Pressure: a", MessageKind::response},
+      {"HTTP/1.1 200 OK\r\nX-Pressures: a\n", MessageKind::response},
+      {"HTTP/1.1 200 OK\r\nX-Pressure\n: a", MessageKind::response},
+      {"HTTP/1.1 200 OK\r\nX-Pressure: a\n\r\nX-Odd: b\n", MessageKind::response},
+      {"GET /view HTTP/1.1\r\nX-Pressure: a\n", MessageKind::request},
+  }));
+  INFO(bytes);
+  CHECK_FALSE(is_head_prefix(bytes, 0, kind));
+}
+
 TEST_CASE("only an answer that says so was turned away", "[http]") {
   const auto [bytes, turned_away] = GENERATE(table<std::string, bool>({
       {"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", true},
