Answers that began and were not passed on are counted and logged

An operators' record shows a 502 beside a backend that was still writing; the node's log said nothing of why the attempt had ended. Event answer_dropped (backend, how the attempt ended, framing, bytes, when head, last piece and end came) and counter answers_dropped tell it.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -760,6 +760,34 @@
              log::Level::debug);
 }
 
+// Counts and logs a long answer that had begun to arrive and is not passed on, so that one that its backend
+// was still writing can be told from one that had stopped. Times are milliseconds since the request's first
+// bytes were seen.
+void ClientConnection::note_dropped_answer(Node& node, const InvocationContext& context, int number,
+                                           const Target& target, const Exchange& exchange,
+                                           ExchangeResult result) {
+  const AnswerRecord& record = exchange.answer_record();
+  const Body& rest = exchange.remaining_body();
+  const bool is_known_short =
+      rest.framing() == Framing::length && record.received_bytes + rest.left() <= kMaxShortAnswerBytes;
+  if (record.head_at == TimePoint() || is_known_short || rest.whole()) return;
+  ++node.counters_.answers_dropped;
+  const auto since_seen = [&context](TimePoint when) {
+    return when == TimePoint() ? std::int64_t{-1} : milliseconds_between(context.seen_at, when);
+  };
+  log::event("answer_dropped", {{"transaction", std::string_view(context.request.transaction)},
+                                {"number", std::int64_t{number}},
+                                {"from", std::string_view(address_text(target.address))},
+                                {"ended", kExchangeResultNames[static_cast<std::size_t>(result)]},
+                                {"framing", kFramingNames[static_cast<std::size_t>(rest.framing())]},
+                                {"bytes", std::uint64_t{record.received_bytes}},
+                                {"left", std::uint64_t{rest.left()}},
+                                {"limit_ms", context.request.remaining_ms},
+                                {"head_ms", since_seen(record.head_at)},
+                                {"last_piece_ms", since_seen(record.last_piece_at)},
+                                {"dropped_ms", since_seen(TimePoint::clock::now())}});
+}
+
 // Whether the client still waits for an answer. Checked right before the first byte of a hand-off is sent: if
 // hand-offs can't be cancelled, a hand-off whose connection is slow to be established would otherwise be sent
 // long after its client has gone or has its answer. The disconnect monitor has a thread of its own, which may
@@ -821,6 +849,8 @@
         log::error("exchange: {}", failure.what());
       }
       trace_hand_off(*context, number, *target, started_at, *exchange, result);
+      if (result != ExchangeResult::answered)
+        note_dropped_answer(node, *context, number, *target, *exchange, result);
       finish_hand_off(node, *context, number, result);
     };
   } catch (const std::exception& failure) {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -101,6 +101,8 @@
                               ExchangeResult result);
   static void trace_hand_off(const InvocationContext& context, int number, const Target& target,
                              TimePoint started_at, const Exchange& exchange, ExchangeResult result);
+  static void note_dropped_answer(Node& node, const InvocationContext& context, int number,
+                                  const Target& target, const Exchange& exchange, ExchangeResult result);
   static bool is_still_wanted(Node& node, const InvocationContext& context);
   static std::function<void()> prepare_hand_off(Node& node, const std::shared_ptr<InvocationContext>& context,
                                                 const core::Instruction& instruction);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -83,6 +83,7 @@
   line("bodies_flowed", bodies_flowed.load());
   line("answers_flowed", answers_flowed.load());
   line("answers_paused", answers_paused.load());
+  line("answers_dropped", answers_dropped.load());
   line("long_answers_refused", long_answers_refused.load());
   line("long_bodies_refused", long_bodies_refused.load());
   for (std::size_t i = 0; i < closed.size(); ++i)
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -227,6 +227,7 @@
   const bool is_known_short =
       remaining_body_.framing() == Framing::length && remaining_body_.left() <= kMaxShortAnswerBytes;
   TimePoint now = TimePoint::clock::now();
+  answer_record_.head_at = now;
   core::AnswerBuffering buffering(now, deadline, !is_known_short);
   TimePoint last_progress_at = now, silent_until = now, next_pause_notice = now + kPauseNotice;
   while (!remaining_body_.whole()) {
@@ -244,6 +245,8 @@
       }
     } else if (result == ReadResult::whole) {
       buffering.add_received(now, into->size() - size_before, silent_until);
+      answer_record_.last_piece_at = now;
+      answer_record_.received_bytes = buffering.pace().received_bytes();
       silent_until = now;
       next_pause_notice = now + kPauseNotice;
       if (conditions.answer_progressed && now - last_progress_at >= kProgressInterval) {
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -22,6 +22,12 @@
   sockaddr_in address{};
 };
 
+// How far an answer has come, for the log.
+struct AnswerRecord {
+  TimePoint head_at, last_piece_at;  // the epoch of the clock: no such part has arrived
+  std::size_t received_bytes = 0;    // of its body
+};
+
 // Conditions that are checked again before the first byte of a hand-off is written, since establishing the
 // connection may take long; and callbacks for an answer that does not arrive at once.
 struct SendConditions {
@@ -63,6 +69,7 @@
   void cancel() { interrupter_.interrupt(); }
   const Response& answer() const { return answer_; }  // its head; valid after run()
   AnswerBody& kept_body() { return kept_body_; }
+  const AnswerRecord& answer_record() const { return answer_record_; }  // valid after run()
   // The unread part of the answer's body; next() appends its next piece to `piece`.
   const Body& remaining_body() const { return remaining_body_; }
   ReadResult next(TimePoint deadline, std::string& piece) {
@@ -98,6 +105,7 @@
   AnswerBody kept_body_;
   const std::chrono::steady_clock::duration connect_timeout_;
   Response answer_;
+  AnswerRecord answer_record_;
   Body remaining_body_;
   // Held while the connection may be reused, or while the answer is still being read.
   std::optional<ConnectionPool::Connection> connection_;
