Long answers are passed on in their request's time however they pause

What callers saw: a 502 for an answer of 130 to 212 kB that its backend was still writing, 0.1 s before the limit, at it, or at the due time of an unsafe request.

Cause: whether such an answer goes on was estimated from its pauses so far, in four places, each by a measure of its own (abandon_if_unlikely, AnswerBuffering::at, useful_until, next_answer_piece). One lump and then silence is the same sight whether the next lump comes or not, so each estimate cuts sound answers, and a longer pause allowed only moves that.

Why it works: policy/answer_delivery states once when an answer is passed on, waited for and given up. Up to 64 KiB it has to be whole by its limit. Of any other the first bytes are timed: it is passed on shortly before its limit, or 1.7 s after its first bytes, whether or not it stands still, and then waited for until its backend is silent for 5 s or sends under 16 kB a second on the mean. The decisions are told that it has begun (AnswerBegun) and leave it to its hand-off. At a stop, as before, only what is likely to be whole is passed on. core/answer_hold is gone.

Three tests asked for 503 or 502 where a long answer stopped or dripped. They now ask for first bytes in time, an end by the node within the silence that it allows, and a body that shows that it is not whole; where the backend resets, for 503 in time as before. New: lumps that stop for good in each framing (HTTP/1.0 too), two of six backends that stop (every safe request whole in time), reloads meanwhile.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -92,6 +92,11 @@
   if (!invocation->is_final) handle_event(lock, AnswerProgress{invocation->index, number, expected_within});
 }
 
+void Balancer::answer_begun(const InvocationHandle& invocation, int number) {
+  std::unique_lock lock(lock_);
+  if (!invocation->is_final) handle_event(lock, AnswerBegun{invocation->index, number});
+}
+
 void Balancer::body_sent(const InvocationHandle& invocation, int number) {
   std::unique_lock lock(lock_);
   if (!invocation->is_final) handle_event(lock, BodySent{invocation->index, number});
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -94,7 +94,10 @@
   void body_sent(const InvocationHandle& invocation, int number);
   // Another piece of an answer, which is still buffered, arrived for hand-off `number`. The next one is
   // expected within `expected_within`.
-  void answer_progressed(const InvocationHandle& invocation, int number, TenthsOfMs expected_within = 0);
+  void answer_progressed(const InvocationHandle& invocation, int number, TenthsOfMs expected_within);
+  // The answer of hand-off `number` has begun, and will be forwarded shortly before the deadline of the
+  // hand-off even if it is not complete then. May be called again.
+  void answer_begun(const InvocationHandle& invocation, int number);
   // The answer of hand-off `number` has begun and pauses.
   void answer_paused(const InvocationHandle& invocation, int number);
   // The client has disconnected. Has no effect after the final answer.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -100,9 +100,8 @@
 constexpr double kHedgeLatencyMultiple = 3;
 // The abandon check comes at most 1/kAllowanceDivisor of the time limit of an invocation before the limit.
 constexpr TenthsOfMs kAllowanceDivisor = 4;
-// An answer counts as still arriving while its last piece is no older than this, or than its own pauses
-// allow.
-constexpr TenthsOfMs kMaxAnswerGap = 2500;
+// The node may be held up for this long between reading its clock and writing.
+constexpr TenthsOfMs kMaxStall = 1500;
 constexpr int kMaxDraws = 12;  // random draws before all candidates are checked in turn
 
 // Successes and failures of hand-offs in the last 8 seconds.
@@ -161,6 +160,7 @@
   double reported_load = -1;
   Execution execution = Execution::in_flight;
   TenthsOfMs progress_expected_by = INT64_MIN / 2;  // the next piece of its answer, if one has arrived
+  bool will_be_forwarded = false;                   // its answer, at its deadline at the latest
   bool was_abandoned = false;                       // cancelled by abandon_if_unlikely()
   bool is_upload = false;                           // the rest of the body still arrives
 };
@@ -365,7 +365,9 @@
           (static_cast<double>(ended.elapsed) - mean_latency_[invocation.workload]) / 64;
     }
     if (ended.is_final || ended.ending == Ending::succeeded) finish(ended.invocation);
-    if (invocation.is_open && invocation.hand_offs_in_flight == 0 && !try_hand_off(ended.invocation))
+    const bool is_past_limit = now_ + answer_margin_ >= invocation.valid_until;
+    if (invocation.is_open && is_past_limit) give_up_at_limit(ended.invocation);
+    else if (invocation.is_open && invocation.hand_offs_in_flight == 0 && !try_hand_off(ended.invocation))
       enqueue_or_answer(ended.invocation);
     forget_if_done(ended.invocation);
     serve_queue();
@@ -379,7 +381,12 @@
   void handle(const AnswerProgress& event) {
     if (is_known_hand_off(event.invocation, event.number))
       invocations_[event.invocation].hand_offs[event.number].progress_expected_by =
-          now_ + std::max(kMaxAnswerGap, event.expected_within);
+          now_ + event.expected_within;
+  }
+
+  void handle(const AnswerBegun& event) {
+    if (is_known_hand_off(event.invocation, event.number))
+      invocations_[event.invocation].hand_offs[event.number].will_be_forwarded = true;
   }
 
   void handle(const BodySent& event) {
@@ -634,6 +641,18 @@
     invocation.abandon_check_at = invocation.valid_until - answer_margin_ - allowance;
     schedule_check(invocation.abandon_check_at, index);
   }
+  // An answer that is about to be forwarded is left to its hand-off, whose thread may have been held up: a
+  // forwarded answer that is late by that is better than the loss of it.
+  void give_up_at_limit(Index index) {
+    const Invocation& invocation = invocations_[index];
+    const bool will_be_answered =
+        invocation.valid_until < answer_by_ && now_ < invocation.valid_until + kMaxStall &&
+        std::any_of(invocation.hand_offs.begin(), invocation.hand_offs.end(), [](const HandOff& hand_off) {
+          return hand_off.will_be_forwarded && hand_off.execution == Execution::in_flight;
+        });
+    if (will_be_answered) schedule_check(invocation.valid_until + kMaxStall, index);
+    else give_final_answer(index);
+  }
   void abandon_if_unlikely(Index index) {
     Invocation& invocation = invocations_[index];
     invocation.abandon_check_at = 0;
@@ -643,7 +662,8 @@
         std::any_of(invocation.hand_offs.begin(), invocation.hand_offs.end(), [&](const HandOff& hand_off) {
           const bool is_progressing = now_ <= hand_off.progress_expected_by;
           return hand_off.execution == Execution::in_flight &&
-                 (is_progressing || probability.is_likely(now_, now_ - hand_off.sent_at, time_left));
+                 (hand_off.will_be_forwarded || is_progressing ||
+                  probability.is_likely(now_, now_ - hand_off.sent_at, time_left));
         });
     if (may_be_answered || probability.is_sampled()) return;
     for (HandOff& hand_off : invocation.hand_offs)
@@ -1248,8 +1268,8 @@
         actions_.push_back({ActionKind::watch_discovery, kNone, kNone, 0, 0});
       } else if (!is_stale(timer)) {
         const Invocation& invocation = invocations_[timer.invocation];
-        if (invocation.is_queued || now_ + answer_margin_ >= invocation.valid_until)
-          give_final_answer(timer.invocation);
+        if (invocation.is_queued) give_final_answer(timer.invocation);
+        else if (now_ + answer_margin_ >= invocation.valid_until) give_up_at_limit(timer.invocation);
         else if (invocation.abandon_check_at > 0 && invocation.abandon_check_at <= now_)
           abandon_if_unlikely(timer.invocation);
         else if (invocation.probe_until > 0 && invocation.probe_until <= now_)
--- a/src/decide.h
+++ b/src/decide.h
@@ -145,6 +145,12 @@
   int number = 0;
   TenthsOfMs expected_within = 0;
 };
+// An answer has begun that will be forwarded shortly before the deadline of its hand-off, even if it is not
+// complete then (see policy/answer_delivery.h).
+struct AnswerBegun {
+  Index invocation = kNone;
+  int number = 0;
+};
 // An answer that has begun pauses, and may go on or not.
 struct AnswerPaused {
   Index invocation = kNone;
@@ -193,8 +199,8 @@
 struct BackendCounts {};
 
 using Event =
-    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, AnswerProgress, AnswerPaused, BodySent,
-                 ClientGone, TimerDue, ProbeEnded, NewSettings, ShutdownRequested, BackendCounts>;
+    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, AnswerProgress, AnswerBegun, AnswerPaused,
+                 BodySent, ClientGone, TimerDue, ProbeEnded, NewSettings, ShutdownRequested, BackendCounts>;
 
 // The members of Action that each kind uses follow it.
 enum class ActionKind {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -27,8 +27,6 @@
 // The receive window of a client whose system does not report it: half of the largest receive buffer that
 // Linux gives to a connection by default.
 constexpr std::uint64_t kAssumedClientWindow = 3 << 20;
-// Longest pause of the backend in a forwarded answer that continues after the client's time limit.
-constexpr std::chrono::milliseconds kLatePauseLimit{1000};
 // How often a thread that waits for more of an answer checks whether the node shuts down.
 constexpr std::chrono::milliseconds kStopCheckInterval{50};
 // A client that sends its next request right after an answer does so within this time.
@@ -611,21 +609,23 @@
   return true;
 }
 
-// Reads the next piece of a forwarded answer. While the backend pauses, waits until the client's time limit,
-// after that limit up to kLatePauseLimit for each piece, or twice the answer's longest pause so far; in all
-// cases no longer than the shutdown of this node allows.
+// Reads the next piece of a forwarded answer. While the backend pauses, waits for as long as the delivery
+// says and the shutdown of this node allows.
 ReadResult ClientConnection::next_answer_piece(const InvocationContext& context, Exchange& exchange,
                                                std::string& piece) {
-  const auto late_pause = std::max<TimePoint::duration>(kLatePauseLimit, 2 * exchange.longest_pause());
-  const TimePoint deadline = std::max(context.client_deadline, TimePoint::clock::now() + late_pause);
+  policy::AnswerDelivery& delivery = exchange.delivery();
+  const TimePoint started_at = TimePoint::clock::now();
+  const TimePoint deadline = delivery.wait_until(started_at, context.client_deadline);
   for (;;) {
     const TimePoint now = TimePoint::clock::now();
     // An answer that goes on without an end must not keep the node from ending.
     if (now >= node_.answer_deadline_.load()) return ReadResult::late;
     const ReadResult read_result = exchange.next(std::min(deadline, now + kStopCheckInterval), piece);
     if (read_result != ReadResult::late || TimePoint::clock::now() >= deadline ||
-        TimePoint::clock::now() >= node_.answer_deadline_.load())
+        TimePoint::clock::now() >= node_.answer_deadline_.load()) {
+      delivery.add_waited(TimePoint::clock::now() - started_at, piece.size());
       return read_result;
+    }
   }
 }
 
@@ -821,13 +821,15 @@
     conditions.may_send = [&node, context, backend = instruction.backend, instance_id = target->instance_id] {
       return node.directory_.is_still_running(backend, instance_id) && is_still_wanted(node, *context);
     };
-    conditions.forward_by = [&node] { return node.answer_deadline_.load(); };
+    conditions.ends_by = [&node] { return node.answer_deadline_.load(); };
     conditions.is_client_waiting = [&node, context] { return is_still_wanted(node, *context); };
     conditions.body_sent = [&node, context, number = instruction.number] {
       node.balancer_.body_sent(context->handle, number);
     };
     conditions.answer_progressed = [&node, context, number = instruction.number](auto expected_within) {
-      const auto us = std::chrono::duration_cast<std::chrono::microseconds>(expected_within).count();
+      using std::chrono::duration_cast, std::chrono::microseconds;
+      if (!expected_within) return node.balancer_.answer_begun(context->handle, number);
+      const auto us = duration_cast<microseconds>(*expected_within).count();
       node.balancer_.answer_progressed(context->handle, number, us / 100);
     };
     conditions.answer_paused = [&node, context, number = instruction.number] {
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "core/answer_hold.h"
 #include "net/node_limits.h"
 
 namespace troutstage::net {
@@ -40,6 +39,10 @@
   TimePoint accepted_at_ = TimePoint::clock::now();
 };
 
+std::optional<std::size_t> known_length(const Body& body) {
+  return body.framing() == Framing::length ? std::optional(body.left()) : std::nullopt;
+}
+
 AcceptedProgress progress_of(const StreamedBody& streamed) {
   return AcceptedProgress(std::max(kMaxBackendPause, streamed.answer_time()));
 }
@@ -214,27 +217,20 @@
   }
 }
 
-// Whether the rest of the answer is likely to arrive before this node ends. Without a length, nothing tells.
-bool Exchange::may_be_whole_by(TimePoint limit, const policy::AnswerPace& pace, TimePoint now) const {
-  if (limit == TimePoint::max()) return true;
-  return remaining_body_.framing() == Framing::length && pace.received_bytes() > 0 &&
-         pace.time_for(remaining_body_.left(), now) < limit - now;
-}
-
-// Buffers an answer until it is complete, or for as long as allowed, since an answer that is partly
-// forwarded to the client can't be replaced by another one. Returns `whole` when forwarding may begin.
+// Buffers an answer until it is complete, or until it is forwarded: an answer that is partly forwarded to the
+// client can't be replaced by another one. Returns `whole` when forwarding may begin.
 ReadResult Exchange::read_answer_body(TimePoint deadline, const SendConditions& conditions) {
-  const bool is_known_short =
-      remaining_body_.framing() == Framing::length && remaining_body_.left() <= kMaxShortAnswerBytes;
+  using Decision = policy::AnswerDelivery::Decision;
   TimePoint now = TimePoint::clock::now();
   answer_record_.head_at = now;
-  core::AnswerBuffering buffering(now, deadline, !is_known_short);
+  delivery_.emplace(now, deadline, known_length(remaining_body_));
   TimePoint last_progress_at = now, silent_until = now, next_pause_notice = now + kPauseNotice;
+  if (conditions.answer_progressed) conditions.answer_progressed(delivery_->expected_within(now));
   while (!remaining_body_.whole()) {
     std::string* const into = kept_body_.room();
     if (into == nullptr) break;
     const std::size_t size_before = into->size();
-    const TimePoint read_by = std::min(buffering.next_decision_at(now), now + kSilenceCheckInterval);
+    const TimePoint read_by = std::min(delivery_->next_decision_at(now), now + kSilenceCheckInterval);
     const ReadResult result = remaining_body_.next(*reader_, read_by, *into);
     now = TimePoint::clock::now();
     if (result == ReadResult::late) {
@@ -244,27 +240,25 @@
         if (conditions.answer_paused) conditions.answer_paused();
       }
     } else if (result == ReadResult::whole) {
-      buffering.add_received(now, into->size() - size_before, silent_until);
+      delivery_->add_received(now, into->size() - size_before, silent_until);
       answer_record_.last_piece_at = now;
-      answer_record_.received_bytes = buffering.pace().received_bytes();
+      answer_record_.received_bytes = delivery_->received_bytes();
       silent_until = now;
       next_pause_notice = now + kPauseNotice;
       if (conditions.answer_progressed && now - last_progress_at >= kProgressInterval) {
         last_progress_at = now;
-        conditions.answer_progressed(buffering.pace().allowed_pause(now));
+        conditions.answer_progressed(delivery_->expected_within(now));
       }
     } else {
       return result;
     }
     if (remaining_body_.whole()) break;
-    const auto decision = buffering.at(now);
-    const bool may_forward =
-        !conditions.forward_by || may_be_whole_by(conditions.forward_by(), buffering.pace(), now);
-    if (decision == core::AnswerBuffering::Decision::forward && may_forward) break;
-    if (decision == core::AnswerBuffering::Decision::give_up) return ReadResult::late;
+    const Decision decision =
+        delivery_->at(now, conditions.ends_by ? conditions.ends_by() : TimePoint::max());
+    if (decision == Decision::forward) break;
+    if (decision == Decision::give_up) return ReadResult::late;
   }
   reader_->disable_stall_limit();
-  longest_pause_ = buffering.pace().longest_pause();
   return ReadResult::whole;
 }
 
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -12,7 +12,7 @@
 #include "net/pool.h"
 #include "net/shutter.h"
 #include "net/streamed_body.h"
-#include "policy/answer_pace.h"
+#include "policy/answer_delivery.h"
 
 namespace troutstage::net {
 
@@ -37,14 +37,13 @@
   // Asked again before the last byte of a streamed body, which is when the backend begins the request:
   // whether its client still waits. May be empty.
   std::function<bool()> is_client_waiting = {};
-  // By when an answer that is forwarded before it is complete has to have come whole, since this node ends
-  // then. May be empty.
-  std::function<TimePoint()> forward_by = {};
+  // When this node ends, as far as is known. May be empty.
+  std::function<TimePoint()> ends_by = {};
   // Called once a streamed body was written whole; may be empty.
   std::function<void()> body_sent = {};
-  // Called while an answer arrives, at most once per kProgressInterval, with the time within which its next
-  // piece is expected; may be empty.
-  std::function<void(std::chrono::steady_clock::duration)> answer_progressed = {};
+  // Called once an answer has begun and while it arrives, at most once per kProgressInterval, with the time
+  // within which its next piece is expected (see policy::AnswerDelivery); may be empty.
+  std::function<void(std::optional<std::chrono::steady_clock::duration>)> answer_progressed = {};
   // Called once the answer has begun and nothing has arrived for kPauseNotice, and for each further such
   // time; may be empty.
   std::function<void()> answer_paused = {};
@@ -75,8 +74,7 @@
   ReadResult next(TimePoint deadline, std::string& piece) {
     return remaining_body_.next_buffered(*reader_, deadline, piece);
   }
-  // The longest pause of the answer while it was buffered.
-  std::chrono::steady_clock::duration longest_pause() const { return longest_pause_; }
+  policy::AnswerDelivery& delivery() { return *delivery_; }  // of the answer; valid after `answered`
   void release_connection();  // returns the connection to the pool if it is reusable, else closes it
 
  private:
@@ -93,7 +91,6 @@
   static IoResult write_piece(int fd, StreamedBody& streamed, std::string_view piece, TimePoint deadline);
   ExchangeResult read_answer(TimePoint deadline, const SendConditions& conditions);
   ReadResult read_answer_head(TimePoint deadline, const SendConditions& conditions);
-  bool may_be_whole_by(TimePoint limit, const policy::AnswerPace& pace, TimePoint now) const;
   ReadResult read_error_body(TimePoint deadline);
   ReadResult read_answer_body(TimePoint deadline, const SendConditions& conditions);
 
@@ -106,13 +103,13 @@
   const std::chrono::steady_clock::duration connect_timeout_;
   Response answer_;
   AnswerRecord answer_record_;
+  std::optional<policy::AnswerDelivery> delivery_;
   Body remaining_body_;
   // Held while the connection may be reused, or while the answer is still being read.
   std::optional<ConnectionPool::Connection> connection_;
   std::optional<Reader> reader_;
   Target target_;
   TimePoint first_byte_at_;
-  std::chrono::steady_clock::duration longest_pause_{};
   bool has_answer_ = false;  // the answer was read, as far as it is buffered here
   SocketInterrupter interrupter_;
 };
--- a/src/net/protocol.h
+++ b/src/net/protocol.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include "policy/answer_delivery.h"
+
 namespace troutstage::net {
 
 inline constexpr std::string_view kTransactionHeader = "X-Txn";
@@ -24,7 +26,7 @@
 
 // Largest body of an answer that is buffered until it is complete; a longer answer may be forwarded while it
 // arrives.
-inline constexpr std::size_t kMaxShortAnswerBytes = 64 * 1024;
+inline constexpr std::size_t kMaxShortAnswerBytes = policy::AnswerDelivery::kMaxShortAnswerBytes;
 // Largest body of a request that is buffered whole, so that it can be handed off again; the rest of a longer
 // body is streamed.
 inline constexpr std::size_t kShortBodyBytes = 16 * 1024;
