--- /dev/null
+++ b/tests/node_process.h
@@ -0,0 +1,77 @@
+// One process of the program before some backends, ready when the object is made.
+#pragma once
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "stand_in.h"
+
+namespace node_process {
+
+using namespace stand_in;
+
+struct Terms {
+  bool may_cancel = true;
+  int due_ms = 2000, longest_limit_ms = 1000;
+};
+
+// A process before backends with these handlers.
+class Process {
+ public:
+  explicit Process(const std::vector<Server::Handler>& handlers, const Terms& terms = {}) {
+    std::vector<std::string> addresses;
+    for (const Server::Handler& handler : handlers) {
+      backends_.push_back(std::make_unique<Server>(handler));
+      addresses.push_back(backends_.back()->address());
+    }
+    start(addresses, terms);
+  }
+  explicit Process(const std::vector<std::string>& backends, const Terms& terms = {}) { start(backends, terms); }
+  const std::string& address() const { return address_; }
+  void reload(bool may_cancel) const {
+    auto json = json_;
+    json["settings"]["bounds"]["cancel"] = may_cancel;
+    const std::string next = file_.path() + ".next";
+    std::ofstream(next) << json.dump();
+    std::filesystem::rename(next, file_.path());
+    ::kill(program_->id(), SIGHUP);
+  }
+
+ private:
+  void start(const std::vector<std::string>& addresses, const Terms& terms) {
+    {
+      const Fd fd = listen_on(parse_address("127.3.0.2:0"));
+      address_ = "127.3.0.2:" + std::to_string(port_of(fd.get()));
+    }
+    auto json = nlohmann::json::parse(config_text(list(1, true, addresses), discovery_.address(), 256, address_));
+    for (auto& workload : json["settings"]["workloads"]) {
+      workload["time-limit"] = terms.longest_limit_ms * 1000;
+      workload["due-time"] = terms.due_ms * 1000;
+    }
+    json["settings"]["bounds"]["cancel"] = terms.may_cancel;
+    json_ = json;
+    file_.write(json.dump());
+    program_ = std::make_unique<Program>(file_, std::vector<std::string>{});
+    for (const TimePoint limit = soon(10000);;) {
+      const Fd fd = new_socket();
+      Reader in(fd.get());
+      Response r;
+      if (connect_to(fd.get(), parse_address(address_), soon(300)) == IoResult::done &&
+          write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == IoResult::done &&
+          read_response(in, soon(300), r) == ReadResult::whole && r.status == 200)
+        return;
+      REQUIRE(TimePoint::clock::now() < limit);
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
+  nlohmann::json json_;
+  std::vector<std::unique_ptr<Server>> backends_;
+  Server discovery_{no_news};
+  File file_{""};
+  std::string address_;
+  std::unique_ptr<Program> program_;
+};
+
+}  // namespace node_process
--- /dev/null
+++ b/tests/slow_upload_test.cpp
@@ -0,0 +1,164 @@
+// Long requests that their backends read slowly: real processes.
+#include <fmt/format.h>
+
+#include <future>
+
+#include "answer_client.h"
+#include "node_process.h"
+
+using namespace node_process;
+using namespace answer_client;
+
+namespace {
+
+// Later than this after its time, a request that was not answered is lost.
+constexpr milliseconds kGrace{500};
+
+// How a backend reads its requests.
+struct Reading {
+  std::string name;
+  int first_pause_ms = 0;
+  std::size_t bytes = 0;  // at a time; 0: it reads nothing
+  int pause_ms = 20;      // between two times
+};
+std::ostream& operator<<(std::ostream& out, const Reading& reading) { return out << reading.name; }
+
+// A backend that reads its connections so, and answers once a request is whole.
+class SlowBackend {
+ public:
+  explicit SlowBackend(const Reading& reading) : reading_(reading), listener_(listen_on(parse_address("127.0.0.1:0"))) {
+    threads_.run([this] {
+      while (!stop_) {
+        if (wait_readable(listener_.get(), soon(5)) != IoResult::done) continue;
+        const int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (fd >= 0) threads_.run([this, fd] { serve(Fd(fd)); });
+      }
+    });
+  }
+  ~SlowBackend() {
+    stop_ = true;
+    threads_.finish();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_of(listener_.get())); }
+
+ private:
+  bool pause(int ms) const {
+    for (const TimePoint until = soon(ms); TimePoint::clock::now() < until && !stop_;)
+      std::this_thread::sleep_for(std::min<TimePoint::duration>(milliseconds(5), until - TimePoint::clock::now()));
+    return !stop_;
+  }
+  void serve(Fd fd) const {
+    if (!pause(reading_.first_pause_ms)) return;
+    std::string head, tail;
+    std::size_t body_bytes = 0;
+    while (pause(reading_.pause_ms)) {
+      std::string bytes(reading_.bytes, ' ');
+      const ssize_t n = bytes.empty() ? -1 : ::recv(fd.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+      if (n == 0) return;
+      if (n < 0) continue;
+      bytes.resize(static_cast<std::size_t>(n));
+      const std::size_t old_end = head.find("\r\n\r\n");
+      if (old_end == head.npos) head += bytes;
+      const std::size_t end = head.find("\r\n\r\n");
+      if (end == head.npos) continue;
+      body_bytes += old_end == head.npos ? head.size() - end - 4 : bytes.size();
+      tail = (tail + bytes).substr(tail.size() + bytes.size() - std::min<std::size_t>(tail.size() + bytes.size(), 5));
+      const auto parsed = parse_head(std::string_view(head).substr(0, end + 4));
+      const bool is_whole = parsed->count("Transfer-Encoding") ? tail == "0\r\n\r\n"
+                                                               : body_bytes >= static_cast<std::size_t>(*parse_digits(parsed->value("Content-Length")));
+      if (!is_whole) continue;
+      write_all(fd.get(), ok("read"), soon());
+      return;
+    }
+  }
+
+  const Reading reading_;
+  Fd listener_;
+  std::atomic<bool> stop_{false};
+  mutable ThreadPool threads_{16};
+};
+
+struct Upload {
+  std::string workload;
+  std::size_t bytes = 0;
+  bool is_chunked = false;
+  int limit_ms = 0;
+  int send_buffer = 0;  // as a client asks its system for it; 0: the system's own choice
+};
+
+std::string text_of(const Upload& upload) {
+  constexpr std::size_t kChunkBytes = 50000;
+  static std::atomic<int> number{0};
+  std::string text = fmt::format("POST /{}/x HTTP/1.1\r\nHost: h\r\nX-Txn: upload{}\r\nX-Remaining-Ms: {}\r\nIdempotency-Key: k\r\n", upload.workload,
+                                 number++, upload.limit_ms);
+  if (!upload.is_chunked) return fmt::format("{}Content-Length: {}\r\n\r\n", text, upload.bytes) + std::string(upload.bytes, 'x');
+  text += "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t left = upload.bytes; left > 0;) {
+    const std::size_t piece = std::min(left, kChunkBytes);
+    text += fmt::format("{:x}\r\n{}\r\n", piece, std::string(piece, 'x'));
+    left -= piece;
+  }
+  return text + "0\r\n\r\n";
+}
+
+// What its client saw; times count from its last byte. Not connected, or not written whole: `nothing`.
+Seen answer_to(const std::string& address, const std::string& text, int send_buffer) {
+  Seen seen;
+  const Fd fd = new_socket();
+  if (send_buffer > 0) ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
+  if (connect_to(fd.get(), parse_address(address), soon()) != IoResult::done) return seen;
+  if (write_all(fd.get(), text, soon(60000)) != IoResult::done) return seen;
+  const TimePoint written = TimePoint::clock::now();
+  const auto since = [written] { return std::chrono::duration_cast<milliseconds>(TimePoint::clock::now() - written); };
+  if (wait_readable(fd.get(), soon(60000)) == IoResult::done) seen.begun = since();
+  Reader in(fd.get());
+  seen.result = read_response(in, soon(60000), seen.response);
+  seen.ended = since();
+  return seen;
+}
+
+// How many bytes the send buffer of a client holds that asks for as much as it can get.
+constexpr int kLargestRequest = 64 << 20;
+std::size_t largest_send_buffer() {
+  const Fd fd = new_socket();
+  int size = kLargestRequest;
+  socklen_t length = sizeof size;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+  ::getsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &size, &length);
+  return static_cast<std::size_t>(size);
+}
+
+void check_answered_in_time(const Seen& seen, int limit_ms) {
+  INFO(told(seen));
+  CHECK(seen.result == ReadResult::whole);
+  CHECK(seen.ended <= milliseconds(limit_ms) + kGrace);
+}
+
+}  // namespace
+
+// Guards against a limit that counts from when the node has room for the last byte, though the client's machine had taken it long before.
+TEST_CASE("a long request is answered by its client's limit however much of it the client's own machine holds", "[bulk]") {
+  constexpr int kLimit = 700;
+  const Reading reading = GENERATE(values<Reading>({{"nothing", 0, 0}, {"400 kB a second", 0, 8000}, {"1.5 MB a second", 0, 30000}}));
+  const bool may_cancel = GENERATE(true, false);
+  INFO(reading.name << ", cancel " << may_cancel);
+  const std::size_t buffer = largest_send_buffer();
+  std::vector<std::unique_ptr<SlowBackend>> backends;
+  std::vector<std::unique_ptr<Process>> processes;
+  std::vector<std::pair<std::string, std::future<Seen>>> all;
+  for (const char* workload : {"order", "pay"})
+    for (const bool is_chunked : {false, true})
+      for (const std::size_t bytes : {std::size_t{2'500'000}, buffer * 7 / 8}) {
+        backends.push_back(std::make_unique<SlowBackend>(reading));
+        processes.push_back(std::make_unique<Process>(std::vector<std::string>{backends.back()->address()}, Terms{may_cancel}));
+        const Upload upload{workload, bytes, is_chunked, kLimit, kLargestRequest};
+        all.emplace_back(fmt::format("{}, chunked {}, {} bytes", workload, is_chunked, bytes),
+                         std::async(std::launch::async, [address = processes.back()->address(), text = text_of(upload)] {
+                           return answer_to(address, text, kLargestRequest);
+                         }));
+      }
+  for (auto& [what, seen] : all) {
+    INFO(what);
+    check_answered_in_time(seen.get(), kLimit);
+  }
+}
