A long request's limit counts from its last byte where its client's send buffer is large

Cause: UploadEstimate took it as proof that the last byte was unwritten when more was missing than 4.25 MiB, the largest buffer that Linux gives by itself. A process may ask for more (SO_SNDBUF, up to twice wmem_max: 8 MiB here), so all of a request can lie in its client's machine while the node has seen none of it. Until less than 4.25 MiB was missing the limit was put off by each look.

A client on a machine that allows more than this one is still open. Event body_unsent and counter bodies_unsent tell of bodies that were not sent whole, and since when their last byte may have been written.

--- a/src/core/upload_estimate.cpp
+++ b/src/core/upload_estimate.cpp
@@ -21,12 +21,12 @@
 
 bool UploadEstimate::was_unwritten_at(const Look& look) const {
   if (!end_) return look.is_sender_idle;
-  return look.arrived_bytes + kMaxSendBufferBytes < *end_ ||
+  return look.arrived_bytes + max_send_buffer_bytes_ < *end_ ||
          (look.is_sender_idle && look.arrived_bytes < *end_);
 }
 
 void UploadEstimate::add_sample(const Look& look) {
-  while (!samples_.empty() && samples_.front().arrived_bytes + kMaxSendBufferBytes < look.arrived_bytes) {
+  while (!samples_.empty() && samples_.front().arrived_bytes + max_send_buffer_bytes_ < look.arrived_bytes) {
     unwritten_until_ = std::max(unwritten_until_, samples_.front().at);
     samples_.pop_front();
   }
--- a/src/core/upload_estimate.h
+++ b/src/core/upload_estimate.h
@@ -4,7 +4,7 @@
 // node reads slowly, the rest of the body waits in the send buffer of the client's machine, which the node
 // can't see. What the node can observe is how many bytes have arrived, and whether the client's machine could
 // send more. A look at the socket shows that the last byte was unwritten if
-//  - more bytes are missing than a send buffer holds, or
+//  - more bytes are missing than the largest send buffer holds, or
 //  - bytes are missing although the client's machine may send, so that its send buffer is empty.
 // If the length of the body is not known, bytes that arrive later show how far the client was at an earlier
 // look.
@@ -24,9 +24,6 @@
 class UploadEstimate {
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
-  // The largest send buffer that Linux gives to a connection by itself, and the piece that may exceed it.
-  static constexpr std::uint64_t kMaxSendBufferBytes = (4 << 20) + (256 << 10);
-
   // A look at the client's socket. Bytes are counted from the start of the connection.
   struct Look {
     // The look began at this time.
@@ -38,9 +35,9 @@
   };
 
   // `started_at`: the last byte was unwritten then. `end`: the count of arrived bytes at which the body is
-  // whole; empty: not known.
-  UploadEstimate(TimePoint started_at, std::optional<std::uint64_t> end)
-      : unwritten_until_(started_at), end_(end) {}
+  // whole; empty: not known. `max_send_buffer_bytes`: the most that the client's machine may hold.
+  UploadEstimate(TimePoint started_at, std::optional<std::uint64_t> end, std::uint64_t max_send_buffer_bytes)
+      : unwritten_until_(started_at), end_(end), max_send_buffer_bytes_(max_send_buffer_bytes) {}
   // Adds a look that was made before the whole body was read.
   void add(const Look& look);
   // The last byte was still unwritten at this time.
@@ -52,6 +49,7 @@
 
   TimePoint unwritten_until_;
   const std::optional<std::uint64_t> end_;
+  const std::uint64_t max_send_buffer_bytes_;
   // If the end is not known: looks that do not show yet whether the last byte was unwritten, oldest first.
   std::deque<Look> samples_;
 };
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -377,9 +377,9 @@
         request.remaining_body.framing() == Framing::length ? request.remaining_body.left() : kMaxBodyBytes);
     invocation.valid_until += (remaining_bytes / kMinBytesPerMs + kBodyPieceTimeout.count()) * kTenthsPerMs;
     invocation.has_streaming_body = true;
-    context->streamed_body.emplace(context->client_access, fd_.get(), reader_, arrival_,
-                                   context->request.remaining_body,
-                                   std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin);
+    context->streamed_body.emplace(
+        context->client_access, fd_.get(), reader_, arrival_, context->request.remaining_body,
+        std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin, node_.max_send_buffer_bytes_);
   }
   invocation.hint = request.hint_micros / 100;
   invocation.is_client_retry = request.is_client_retry;
@@ -720,6 +720,22 @@
   else finish_hand_off(node_, *context, instruction.number, ExchangeResult::no_room);
 }
 
+// Counts and logs a streamed body that was not sent whole to its backend. Times are milliseconds until now.
+void ClientConnection::note_unsent_body(Node& node, const InvocationContext& context, int number,
+                                        ExchangeResult result) {
+  const StreamedBody& body = *context.streamed_body;
+  if (body.sent_at() != TimePoint()) return;
+  ++node.counters_.bodies_unsent;
+  const TimePoint now = TimePoint::clock::now();
+  log::event("body_unsent", {{"transaction", std::string_view(context.request.transaction)},
+                             {"number", std::int64_t{number}},
+                             {"ended", kExchangeResultNames[static_cast<std::size_t>(result)]},
+                             {"left", std::uint64_t{body.remaining_body().left()}},
+                             {"limit_ms", context.request.remaining_ms},
+                             {"unwritten_ms", milliseconds_between(body.unwritten_until(), now)},
+                             {"held_ms", milliseconds_between(context.seen_at, now)}});
+}
+
 // Counts how a hand-off ended and reports the end to the balancer.
 void ClientConnection::finish_hand_off(Node& node, const InvocationContext& context, int number,
                                        ExchangeResult result) {
@@ -731,6 +747,7 @@
   core::Balancer::HandOffDetails details;
   // The time that the client took to send its body says nothing about the backend.
   if (context.has_streaming_body) {
+    note_unsent_body(node, context, number, result);
     const StreamedBody& body = *context.streamed_body;
     const auto since = TimePoint::clock::now() - body.sent_at();
     details.is_body_consumed = body.is_partly_consumed();
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -97,6 +97,8 @@
   static void note_end_of_body(InvocationContext& context);
   void trace_answer(const InvocationContext& context, std::string_view outcome) const;
   static void cancel(const InvocationContext& context, int number);
+  static void note_unsent_body(Node& node, const InvocationContext& context, int number,
+                               ExchangeResult result);
   static void finish_hand_off(Node& node, const InvocationContext& context, int number,
                               ExchangeResult result);
   static void trace_hand_off(const InvocationContext& context, int number, const Target& target,
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -84,6 +84,7 @@
   line("answers_flowed", answers_flowed.load());
   line("answers_paused", answers_paused.load());
   line("answers_dropped", answers_dropped.load());
+  line("bodies_unsent", bodies_unsent.load());
   line("long_answers_refused", long_answers_refused.load());
   line("long_bodies_refused", long_bodies_refused.load());
   for (std::size_t i = 0; i < closed.size(); ++i)
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -65,7 +65,7 @@
   Count connections_taken{0}, accepts_failed{0}, connections_opened{0}, turned_off_full{0},
       turned_off_stopping{0}, answers_unread{0}, answers_cut{0}, bodies_flowed{0}, answers_flowed{0};
   // Pauses of 0.25 s within answers of backends.
-  Count answers_paused{0}, answers_dropped{0};
+  Count answers_paused{0}, answers_dropped{0}, bodies_unsent{0};
   // Long answers that were refused before they began, since memory was scarce.
   Count long_answers_refused{0}, long_bodies_refused{0};
   // Refused requests, by RequestError; without no_room, which turned_off_full counts.
--- a/src/net/streamed_body.h
+++ b/src/net/streamed_body.h
@@ -19,10 +19,12 @@
 class StreamedBody {
  public:
   // `remaining_body`: what `reader` has not read yet from the connection `client_fd`. `answer_time`: how long
-  // the client waits for its answer after it wrote the last byte.
+  // the client waits for its answer after it wrote the last byte. `max_send_buffer_bytes`: see
+  // core::UploadEstimate.
   // `client_fd`, `reader` and `arrival` belong to the connection and are used through `access` only.
   StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader, core::ArrivalEstimate& arrival,
-               Body& remaining_body, std::chrono::milliseconds answer_time);
+               Body& remaining_body, std::chrono::milliseconds answer_time,
+               std::uint64_t max_send_buffer_bytes);
   // Reads the next piece from the client. `cut` also if the access has ended, or as soon as `is_cancelled()`.
   ReadResult next(std::string& piece, const std::function<bool()>& is_cancelled);
   // Looks at the client's connection. Returns the time by which the request has to be answered, as far as is
@@ -32,6 +34,8 @@
 
   const Body& remaining_body() const { return remaining_body_; }
   std::chrono::milliseconds answer_time() const { return answer_time_; }
+  // The last byte was surely unwritten then, as far as is known.
+  TimePoint unwritten_until() const { return answer_deadline_ - answer_time_; }
   // Reading began, so the request can't be sent again.
   bool is_partly_consumed() const { return is_partly_consumed_; }
   // Notes that the whole body has been written to the backend.
--- a/tests/streaming_test.cpp
+++ b/tests/streaming_test.cpp
@@ -2,8 +2,11 @@
 #include <fmt/format.h>
 #include <poll.h>
 
+#include <fstream>
+
 #include "core/reader_progress.h"
 #include "core/upload_estimate.h"
+#include "net/send_buffers.h"
 #include "stand_in.h"
 
 using namespace stand_in;
@@ -411,25 +414,25 @@
 }
 
 TEST_CASE("what has arrived of a body bounds when its last byte was written", "[core]") {
-  constexpr std::uint64_t kBuffer = UploadEstimate::kMaxSendBufferBytes;
+  constexpr std::uint64_t kBuffer = (4 << 20) + (256 << 10);
   const TimePoint start = TimePoint::clock::now();
   const auto at = [&](int ms) { return start + milliseconds(ms); };
   SECTION("more is missing than a send buffer holds") {
-    UploadEstimate upload(start, 2 * kBuffer);
+    UploadEstimate upload(start, 2 * kBuffer, kBuffer);
     upload.add({at(1), kBuffer - 1, false});
     CHECK(upload.unwritten_until() == at(1));
     upload.add({at(2), kBuffer, false});
     CHECK(upload.unwritten_until() == at(1));
   }
   SECTION("the client's machine has nothing more to send though it may") {
-    UploadEstimate upload(start, 1000);
+    UploadEstimate upload(start, 1000, kBuffer);
     upload.add({at(1), 999, true});
     CHECK(upload.unwritten_until() == at(1));
     upload.add({at(2), 1000, true});
     CHECK(upload.unwritten_until() == at(1));
   }
   SECTION("without a length, only what arrives later shows how far the client was") {
-    UploadEstimate upload(start, std::nullopt);
+    UploadEstimate upload(start, std::nullopt, kBuffer);
     upload.add({at(1), 1000, false});
     upload.add({at(2), 1000 + kBuffer, false});
     CHECK(upload.unwritten_until() == start);
@@ -441,3 +444,22 @@
     CHECK(upload.unwritten_until() == at(4));
   }
 }
+
+// Guards against a limit that counts from too late where clients may have larger send buffers than by default.
+TEST_CASE("the largest send buffer is what the system allows, and no smaller than by default", "[core]") {
+  constexpr std::uint64_t kDefault = 4 << 20, kPiece = 256 << 10;
+  CHECK(max_send_buffer_bytes({}) == kDefault + kPiece);
+  CHECK(max_send_buffer_bytes({1 << 20, 212992}) == kDefault + kPiece);
+  CHECK(max_send_buffer_bytes({6 << 20, 212992}) == (6 << 20) + kPiece);
+  CHECK(max_send_buffer_bytes({4 << 20, 4 << 20}) == (8 << 20) + kPiece);
+  const auto folder = std::filesystem::temp_directory_path() / ("sysctl-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(folder / "net/ipv4");
+  std::filesystem::create_directories(folder / "net/core");
+  std::ofstream(folder / "net/ipv4/tcp_wmem") << "4096\t16384\t5000000\n";
+  std::ofstream(folder / "net/core/wmem_max") << "3000000\n";
+  const SendBufferLimits limits = read_send_buffer_limits(folder.string());
+  CHECK(limits.by_itself == 5000000);
+  CHECK(limits.on_request == 3000000);
+  std::filesystem::remove_all(folder);
+  CHECK(read_send_buffer_limits(folder.string()).by_itself == 0);
+}
