Failing test: large requests whose bytes come some milliseconds late, before backends that read in bursts

Real processes; a new rule of the shim lets the bytes of a connection come 8 ms late after each 64 KiB, as on a machine whose processors are busy. 16 of 24 final answers came 2.6 to 3.2 s after the last byte of the request, its limit being 0.6 s; most were a 200.

--- a/tests/faults/shim.cpp
+++ b/tests/faults/shim.cpp
@@ -3,7 +3,7 @@
 //
 // TROUTSTAGE_FAULTS holds rules separated by ';', each of them fields separated by ',':
 //   call=recv|peek|send|poll|ppoll|epoll_wait|epoll_ctl|accept4|socket|connect|ftruncate|pthread_create|cond_clockwait|
-//        tcp_info|fionread|rdhup
+//        tcp_info|fionread|rdhup|arrival
 //   error=EINTR      the error that the call returns with; without it the call is made
 //   hold_ms=150      the calling thread stands still for so long first
 //   hold_after_ms=90 it does after the call, which found something: bytes, an event or a connection (recv,
@@ -11,6 +11,8 @@
 //   says=0           what the system tells: how long ago the last bytes came, in ms (tcp_info), how many bytes
 //                    are unread (fionread), whether the other side has closed (rdhup: 0, poll() hides it), or that
 //                    nothing is there (epoll_wait: 0)
+//   gap_ms=8,each_bytes=65536  (call=arrival) after each 64 KiB that were read from a connection the next bytes come 8 ms
+//                    later, whether or not the other side has sent them: until then nothing tells of them
 //   chance=0.05      of each such call, or
 //   nth=7            only of the seventh; times=3: and of the two after it
 //   while=PATH       only while that file exists
@@ -73,6 +75,8 @@
   int hold_ms = 0, hold_after_ms = 0;
   std::optional<int> says;
   int every_ms = 0, for_ms = 0;  // every_ms 0: at any time
+  int gap_ms = 0;
+  std::uint64_t each_bytes = 0;
   double chance = 1;
   std::uint64_t nth = 0, times = 1;  // nth 0: any
   std::atomic<std::uint64_t> met{0};
@@ -106,6 +110,8 @@
   else if (key == "hold_ms") rule.hold_ms = std::atoi(value.c_str());
   else if (key == "hold_after_ms") rule.hold_after_ms = std::atoi(value.c_str());
   else if (key == "says") rule.says = std::atoi(value.c_str());
+  else if (key == "gap_ms") rule.gap_ms = std::atoi(value.c_str());
+  else if (key == "each_bytes") rule.each_bytes = std::strtoull(value.c_str(), nullptr, 10);
   else if (key == "every_ms") rule.every_ms = std::atoi(value.c_str());
   else if (key == "for_ms") rule.for_ms = std::atoi(value.c_str());
   else if (key == "chance") rule.chance = std::atof(value.c_str());
@@ -170,11 +176,12 @@
   [[maybe_unused]] const auto written = ::write(plan->log, line, static_cast<std::size_t>(size));
 }
 
-void stand_still(int ms) {
-  timespec span{ms / 1000, ms % 1000 * 1000000L};
+void stand_still_us(std::int64_t us) {
+  timespec span{us / 1000000, us % 1000000 * 1000L};
   while (::nanosleep(&span, &span) != 0 && errno == EINTR) {
   }
 }
+void stand_still(int ms) { stand_still_us(std::int64_t{ms} * 1000); }
 
 // Whether this call is to fail; errno is set then.
 bool fails(std::string_view call, const void* site) {
@@ -220,6 +227,41 @@
   return told;
 }
 
+// Connections by descriptor: what was read since the last gap, and until when nothing more has come.
+struct Flow {
+  std::atomic<std::uint64_t> read_bytes{0};
+  std::atomic<std::int64_t> empty_until_us{0};
+};
+std::array<Flow, 4096> flows;
+
+std::int64_t now_us() {
+  timespec now{};
+  ::clock_gettime(CLOCK_MONOTONIC, &now);
+  return std::int64_t{now.tv_sec} * 1000000 + now.tv_nsec / 1000;
+}
+Flow* flow_of(int fd) { return fd >= 0 && static_cast<std::size_t>(fd) < flows.size() ? &flows[static_cast<std::size_t>(fd)] : nullptr; }
+void note_read(int fd, ssize_t bytes, const void* site) {
+  Flow* const flow = flow_of(fd);
+  if (plan == nullptr || flow == nullptr || bytes <= 0) return;
+  for (Rule& rule : plan->rules) {
+    if (rule.call != "arrival" || rule.each_bytes == 0) continue;
+    if ((flow->read_bytes += static_cast<std::uint64_t>(bytes)) < rule.each_bytes) continue;
+    flow->read_bytes = 0;
+    if (!applies(rule, "arrival")) continue;
+    note(rule, site);
+    flow->empty_until_us = now_us() + rule.gap_ms * 1000;
+  }
+}
+// How long the connection stays empty yet; 0: it is not in a gap.
+std::int64_t gap_left_us(int fd) {
+  const Flow* const flow = flow_of(fd);
+  if (flow == nullptr || flow->empty_until_us == 0) return 0;
+  return std::max<std::int64_t>(0, flow->empty_until_us - now_us());
+}
+void begin_flow(int fd) {
+  if (Flow* const flow = flow_of(fd)) flow->read_bytes = 0, flow->empty_until_us = 0;
+}
+
 template <class Function>
 Function* next(const char* name) {
   return reinterpret_cast<Function*>(::dlsym(RTLD_NEXT, name));
@@ -234,8 +276,12 @@
 
 ssize_t recv(int fd, void* into, size_t size, int flags) {
   NEXT(recv);
+  if (gap_left_us(fd) > 0) return errno = EAGAIN, -1;
   if (flags & MSG_PEEK) return fails("peek", HERE) ? -1 : real(fd, into, size, flags);
-  return fails("recv", HERE) ? -1 : found("recv", real(fd, into, size, flags), HERE);
+  if (fails("recv", HERE)) return -1;
+  const ssize_t result = found("recv", real(fd, into, size, flags), HERE);
+  note_read(fd, result, HERE);
+  return result;
 }
 ssize_t send(int fd, const void* from, size_t size, int flags) {
   NEXT(send);
@@ -244,6 +290,7 @@
 int poll(pollfd* polled, nfds_t count, int timeout) {
   NEXT(poll);
   if (fails("poll", HERE)) return -1;
+  if (count == 1 && timeout == 0 && (polled->events & POLLIN) != 0 && gap_left_us(polled->fd) > 0) return polled->revents = 0, 0;
   const int result = real(polled, count, timeout);
   const bool asks_of_close = count == 1 && (polled->events & POLLRDHUP) != 0;
   if (result <= 0 || !asks_of_close || says("rdhup", HERE) != 0) return result;
@@ -252,7 +299,15 @@
 }
 int ppoll(pollfd* polled, nfds_t count, const timespec* timeout, const sigset_t* mask) {
   NEXT(ppoll);
-  return fails("ppoll", HERE) ? -1 : found("ppoll", real(polled, count, timeout, mask), HERE);
+  if (fails("ppoll", HERE)) return -1;
+  const std::int64_t gap_us = count == 1 && (polled->events & POLLIN) != 0 ? gap_left_us(polled->fd) : 0;
+  if (gap_us == 0) return found("ppoll", real(polled, count, timeout, mask), HERE);
+  const std::int64_t timeout_us = timeout == nullptr ? INT64_MAX : std::int64_t{timeout->tv_sec} * 1000000 + timeout->tv_nsec / 1000;
+  stand_still_us(std::min(gap_us, timeout_us));
+  if (timeout_us <= gap_us) return polled->revents = 0, 0;
+  const std::int64_t left_us = timeout == nullptr ? 0 : timeout_us - gap_us;
+  const timespec left{left_us / 1000000, left_us % 1000000 * 1000};
+  return found("ppoll", real(polled, count, timeout == nullptr ? nullptr : &left, mask), HERE);
 }
 int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
   NEXT(epoll_wait);
@@ -268,7 +323,10 @@
 }
 int accept4(int fd, sockaddr* address, socklen_t* size, int flags) {
   NEXT(accept4);
-  return fails("accept4", HERE) ? -1 : found("accept4", real(fd, address, size, flags), HERE);
+  if (fails("accept4", HERE)) return -1;
+  const int accepted = real(fd, address, size, flags);
+  begin_flow(accepted);
+  return found("accept4", accepted, HERE);
 }
 int getsockopt(int fd, int level, int name, void* value, socklen_t* size) noexcept {
   NEXT(getsockopt);
@@ -292,12 +350,16 @@
   if (what != FIONREAD) return real(fd, what, argument);
   if (fails("fionread", HERE)) return -1;
   const int result = real(fd, what, argument);
+  if (result == 0 && gap_left_us(fd) > 0) *static_cast<int*>(argument) = 0;
   if (const auto told = says("fionread", HERE); result == 0 && told) *static_cast<int*>(argument) = *told;
   return result;
 }
 int socket(int domain, int type, int protocol) noexcept {
   NEXT(socket);
-  return fails("socket", HERE) ? -1 : real(domain, type, protocol);
+  if (fails("socket", HERE)) return -1;
+  const int made = real(domain, type, protocol);
+  begin_flow(made);
+  return made;
 }
 int connect(int fd, const sockaddr* address, socklen_t size) {
   NEXT(connect);
--- a/tests/node_process.h
+++ b/tests/node_process.h
@@ -14,6 +14,7 @@
 struct Terms {
   bool may_cancel = true;
   int due_ms = 2000, longest_limit_ms = 1000;
+  std::string faults = {};  // for the shim (tests/faults); empty: it is not loaded
 };
 
 // A process before backends with these handlers.
@@ -52,7 +53,10 @@
     json["settings"]["bounds"]["cancel"] = terms.may_cancel;
     json_ = json;
     file_.write(json.dump());
-    program_ = std::make_unique<Program>(file_, std::vector<std::string>{});
+    std::vector<std::string> variables;
+    if (!terms.faults.empty())
+      variables = {std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM, "TROUTSTAGE_FAULTS=" + terms.faults, "ASAN_OPTIONS=verify_asan_link_order=0"};
+    program_ = std::make_unique<Program>(file_, variables);
     for (const TimePoint limit = soon(10000);;) {
       const Fd fd = new_socket();
       Reader in(fd.get());
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -162,3 +162,28 @@
     check_answered_in_time(seen.get(), kLimit);
   }
 }
+
+// Guards against a limit that counts from a moment at which the socket was empty although the client's machine held more.
+TEST_CASE("a long request is answered by its client's limit though its bytes come late while its backend reads in bursts", "[bulk]") {
+  constexpr int kLimit = 600;
+  const Reading reading = GENERATE(values<Reading>({{"0.5 MB each 0.45 s", 0, 500000, 450}, {"0.3 MB each 0.3 s", 0, 300000, 300}, {"all after 0.5 s", 500, 4000000, 1}}));
+  const bool may_cancel = GENERATE(true, false);
+  INFO(reading.name << ", cancel " << may_cancel);
+  std::vector<std::unique_ptr<SlowBackend>> backends;
+  std::vector<std::unique_ptr<Process>> processes;
+  std::vector<std::pair<std::string, std::future<Seen>>> all;
+  for (const char* workload : {"order", "pay"})
+    for (const bool is_chunked : {false, true}) {
+      backends.push_back(std::make_unique<SlowBackend>(reading));
+      Terms terms{may_cancel};
+      terms.faults = "call=arrival,gap_ms=8,each_bytes=65536";
+      processes.push_back(std::make_unique<Process>(std::vector<std::string>{backends.back()->address()}, terms));
+      const Upload upload{workload, 2'500'000, is_chunked, kLimit, 0};
+      all.emplace_back(fmt::format("{}, chunked {}", workload, is_chunked),
+                       std::async(std::launch::async, [address = processes.back()->address(), text = text_of(upload)] { return answer_to(address, text, kLargestRequest); }));
+    }
+  for (auto& [what, seen] : all) {
+    INFO(what);
+    check_answered_in_time(seen.get(), kLimit);
+  }
+}
