An empty socket after a pause in reading does not show that a long request's last byte is unwritten

What callers saw: clients that had written a request of 2.5 or 4 MB had their final answer seconds after its time (limit 0.6 s: 2.6 to 3.2 s, most of them a 200), where the backend read it in bursts.

Cause: each look that found the client's socket empty put the limit off, since the client's machine then seemed to have nothing to send. But while the backend stands still the client's send buffer fills; once it reads on, the node empties the socket faster than the bytes behind it come, by some milliseconds on a machine whose processors are busy. Each burst put the limit off anew.

Why it works: UploadEstimate is told how long the node has not read. After a pause of more than 10 ms an empty socket counts only once nothing has come for 60 ms, or less than a receive window while the node kept reading: a full buffer would have brought more. A client that writes slowly to a node that keeps reading is seen at each gap, as before. StreamedBody goes by UploadEstimate alone and no longer by the reader's own looks, which had the same mistake.

Price: a client that writes faster than a receive window in 60 ms to a backend that pauses counts from before the pause, and may be refused (503).

--- a/src/core/upload_estimate.cpp
+++ b/src/core/upload_estimate.cpp
@@ -19,14 +19,37 @@
   }
 }
 
-bool UploadEstimate::was_unwritten_at(const Look& look) const {
-  if (!end_) return look.is_sender_idle;
-  return look.arrived_bytes + max_send_buffer_bytes_ < *end_ ||
-         (look.is_sender_idle && look.arrived_bytes < *end_);
+bool UploadEstimate::was_unwritten_at(const Look& look) {
+  const bool is_idle = is_sender_idle(look);
+  if (!end_) return is_idle;
+  return look.arrived_bytes + sizes_.max_send_buffer < *end_ || (is_idle && look.arrived_bytes < *end_);
+}
+
+bool UploadEstimate::is_sender_idle(const Look& look) {
+  if (look.read_pause > kMaxReadPause) {
+    may_hold_more_ = true;
+    reading_since_ = look;
+  }
+  if (!look.is_empty) {
+    empty_since_.reset();
+    return false;
+  }
+  if (!empty_since_ || empty_since_->arrived_bytes != look.arrived_bytes) empty_since_ = look;
+  if (may_hold_more_ && !has_drained(look)) return false;
+  may_hold_more_ = false;
+  return true;
+}
+
+bool UploadEstimate::has_drained(const Look& look) {
+  if (look.at - empty_since_->at >= kSettleTime) return true;
+  if (look.at - reading_since_.at < kSettleTime) return false;
+  const std::uint64_t arrived_bytes = look.arrived_bytes - reading_since_.arrived_bytes;
+  reading_since_ = look;
+  return arrived_bytes < sizes_.min_receive_window;
 }
 
 void UploadEstimate::add_sample(const Look& look) {
-  while (!samples_.empty() && samples_.front().arrived_bytes + max_send_buffer_bytes_ < look.arrived_bytes) {
+  while (!samples_.empty() && samples_.front().arrived_bytes + sizes_.max_send_buffer < look.arrived_bytes) {
     unwritten_until_ = std::max(unwritten_until_, samples_.front().at);
     samples_.pop_front();
   }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -379,7 +379,9 @@
     invocation.has_streaming_body = true;
     context->streamed_body.emplace(
         context->client_access, fd_.get(), reader_, arrival_, context->request.remaining_body,
-        std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin, node_.max_send_buffer_bytes_);
+        std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin,
+        core::UploadEstimate::BufferSizes{node_.max_send_buffer_bytes_,
+                                          static_cast<std::uint64_t>(node_.limits_.socket_buffer)});
   }
   invocation.hint = request.hint_micros / 100;
   invocation.is_client_retry = request.is_client_retry;
--- a/src/net/streamed_body.cpp
+++ b/src/net/streamed_body.cpp
@@ -20,10 +20,11 @@
 
 StreamedBody::StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader,
                            core::ArrivalEstimate& arrival, Body& remaining_body,
-                           std::chrono::milliseconds answer_time, std::uint64_t max_send_buffer_bytes)
+                           std::chrono::milliseconds answer_time,
+                           const core::UploadEstimate::BufferSizes& sizes)
     : access_(access), client_fd_(client_fd), reader_(reader), arrival_(arrival),
       remaining_body_(remaining_body), answer_time_(answer_time),
-      upload_(arrival.earliest(), end_of(reader, remaining_body), max_send_buffer_bytes) {}
+      upload_(arrival.earliest(), end_of(reader, remaining_body), sizes) {}
 
 ReadResult StreamedBody::next(std::string& piece, const std::function<bool()>& is_cancelled) {
   is_partly_consumed_ = true;
@@ -35,6 +36,7 @@
       look();
       read_result = remaining_body_.next_buffered(
           reader_, std::min(deadline, TimePoint::clock::now() + kMaxAccessTime), piece);
+      last_read_at_ = TimePoint::clock::now();
       if (remaining_body_.whole()) set_read_whole();
     });
     if (!has_access) return ReadResult::cut;
@@ -43,7 +45,9 @@
 }
 
 void StreamedBody::set_read_whole() {
-  last_byte_at_ = arrival_.arrival();
+  const TimePoint unwritten_until = upload_.unwritten_until();
+  const bool is_recent = last_read_at_ - unwritten_until <= core::ArrivalEstimate::kMaxCheckGap;
+  last_byte_at_ = is_recent ? last_read_at_ : unwritten_until;
   answer_deadline_ = *last_byte_at_ + answer_time_;
 }
 
@@ -52,21 +56,17 @@
   return access_.with_connection([this] { look(); }) ? answer_deadline_ : TimePoint::min();
 }
 
-// Only an empty socket shows that the client's machine has nothing more to send: with unread bytes it may be
-// waiting for a larger receive window. While the node waits for bytes, its checks that find none show the
-// same; those are in arrival_ already.
 void StreamedBody::look() {
   const TimePoint now = TimePoint::clock::now();
   if (const auto unread = unread_byte_count(client_fd_)) add_look(now, *unread);
-  answer_deadline_ = arrival_.earliest() + answer_time_;
+  answer_deadline_ = upload_.unwritten_until() + answer_time_;
 }
 
 void StreamedBody::add_look(TimePoint now, std::size_t unread) {
   // If the length of the body is not known, unparsed bytes may hold its end.
   const std::size_t unparsed =
       remaining_body_.framing() == Framing::length ? unread : unread + reader_.buffered_bytes();
-  upload_.add({now, reader_.read_bytes() + unread, unparsed == 0});
-  if (upload_.unwritten_until() > arrival_.earliest()) arrival_.no_bytes_until(upload_.unwritten_until());
+  upload_.add({now, reader_.read_bytes() + unread, unparsed == 0, now - last_read_at_});
 }
 
 }  // namespace troutstage::net
--- a/tests/lump_answer_test.cpp
+++ b/tests/lump_answer_test.cpp
@@ -26,8 +26,6 @@
   std::size_t bytes;
   std::vector<Lump> parts;
 };
-// In Catch's messages.
-std::ostream& operator<<(std::ostream& out, const Lumps& lumps) { return out << lumps.name; }
 
 const std::vector<Lumps> kLumps = {{"0, 1.7", 130653, {{0, 0.5}, {1700, 0.5}}},
                                    {"0, 0.9", 212451, {{0, 0.5}, {900, 0.5}}},
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -21,7 +21,6 @@
   std::size_t bytes = 0;  // at a time; 0: it reads nothing
   int pause_ms = 20;      // between two times
 };
-std::ostream& operator<<(std::ostream& out, const Reading& reading) { return out << reading.name; }
 
 // A backend that reads its connections so, and answers once a request is whole.
 class SlowBackend {
--- a/tests/streaming_test.cpp
+++ b/tests/streaming_test.cpp
@@ -414,25 +414,62 @@
 }
 
 TEST_CASE("what has arrived of a body bounds when its last byte was written", "[core]") {
-  constexpr std::uint64_t kBuffer = (4 << 20) + (256 << 10);
+  constexpr std::uint64_t kBuffer = (4 << 20) + (256 << 10), kWindow = 4096, kEnd = 3'000'000;
   const TimePoint start = TimePoint::clock::now();
   const auto at = [&](int ms) { return start + milliseconds(ms); };
   SECTION("more is missing than a send buffer holds") {
-    UploadEstimate upload(start, 2 * kBuffer, kBuffer);
+    UploadEstimate upload(start, 2 * kBuffer, {kBuffer, kWindow});
     upload.add({at(1), kBuffer - 1, false});
     CHECK(upload.unwritten_until() == at(1));
     upload.add({at(2), kBuffer, false});
     CHECK(upload.unwritten_until() == at(1));
   }
   SECTION("the client's machine has nothing more to send though it may") {
-    UploadEstimate upload(start, 1000, kBuffer);
+    UploadEstimate upload(start, 1000, {kBuffer, kWindow});
     upload.add({at(1), 999, true});
     CHECK(upload.unwritten_until() == at(1));
     upload.add({at(2), 1000, true});
     CHECK(upload.unwritten_until() == at(1));
   }
+  SECTION("an empty socket tells nothing right after the node has paused, since the client's machine may hold more") {
+    UploadEstimate upload(start, kEnd, {kBuffer, kWindow});
+    upload.add({at(500), 300'000, false, milliseconds(450)});
+    // It reads on at full speed, with short gaps in which nothing has come yet.
+    std::uint64_t arrived = 300'000;
+    for (int ms = 510; ms < 900; ms += 10) upload.add({at(ms), arrived += 64 << 10, true, milliseconds(1)});
+    CHECK(upload.unwritten_until() == start);
+  }
+  SECTION("it does once nothing has come for a while, whether or not the node reads") {
+    for (const int read_pause : {1, 200}) {
+      UploadEstimate upload(start, kEnd, {kBuffer, kWindow});
+      upload.add({at(500), 300'000, false, milliseconds(450)});
+      // A node that reads has done so since 500, one that does not has found the socket empty since 510.
+      const int known_at = read_pause == 1 ? 560 : 570;
+      for (int ms = 510; ms < known_at; ms += 10) upload.add({at(ms), 300'000, true, milliseconds(read_pause)});
+      CHECK(upload.unwritten_until() == start);
+      upload.add({at(known_at), 300'000, true, milliseconds(read_pause)});
+      CHECK(upload.unwritten_until() == at(known_at));
+      upload.add({at(580), 310'000, true, milliseconds(1)});
+      CHECK(upload.unwritten_until() == at(580));
+    }
+  }
+  SECTION("it does once so little comes for a while that the client's machine can't hold more") {
+    UploadEstimate upload(start, kEnd, {kBuffer, kWindow});
+    upload.add({at(500), 300'000, false, milliseconds(450)});
+    std::uint64_t arrived = 300'000;
+    int ms = 510;
+    for (; ms < 900 && upload.unwritten_until() == start; ms += 10) upload.add({at(ms), arrived += 650, true, milliseconds(1)});
+    CHECK(upload.unwritten_until() == at(560));
+  }
+  SECTION("a client that writes slowly to a node that reads without a pause is seen at each gap") {
+    UploadEstimate upload(start, kEnd, {kBuffer, kWindow});
+    for (int ms = 20; ms < 900; ms += 20) {
+      upload.add({at(ms), static_cast<std::uint64_t>(ms) * 400, true, milliseconds(10)});
+      CHECK(upload.unwritten_until() == at(ms));
+    }
+  }
   SECTION("without a length, only what arrives later shows how far the client was") {
-    UploadEstimate upload(start, std::nullopt, kBuffer);
+    UploadEstimate upload(start, std::nullopt, {kBuffer, kWindow});
     upload.add({at(1), 1000, false});
     upload.add({at(2), 1000 + kBuffer, false});
     CHECK(upload.unwritten_until() == start);
