The soak has long answers in lumps, and waits for the end of those that stop

The answers come in any framing, in two to five lumps over up to 1.7 s; each has to reach its client whole unless its node has been told to end, and the check knows when its backend began it. An answer that its backend stops within may begin in its time and fail, as the protocol page says; it has to be ended by its node within the silence that it allows, where the check asked for another final answer before.

--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -35,6 +35,7 @@
   double hangs = 0.2;         // of the backends' requests
   double begins = 0;          // the same: a long answer begins, and stops in the middle
   double endless = 0;         // the same: a long answer comes steadily and never ends
+  double lumps = 0;           // the same: a long answer comes whole, in lumps over up to 1.7 s
   double leaves = 0;          // of the clients: they close before their answer
   double slow = 0;            // of the clients: they write a request in pieces, over up to 0.4 s
   int time_limit_ms = 1000;   // the longest that the settings name
@@ -45,12 +46,16 @@
 // What the rules call a break, with its story.
 struct Breaks {
   std::vector<std::string> lost;   // a request without its one final answer in time
+  std::vector<std::string> cut;    // a sound answer in lumps that its node gave up or cut
   std::vector<std::string> wrong;  // answered with another request's answer
   std::vector<std::string>
       begun_late;  // an attempt that came to a backend over 0.1 s after its client had closed
   std::vector<std::string> crashed;  // a process that ended by itself without being told, or with an error
   Times::Verdict times;
   int answered = 0, refused = 0, failed = 0;
+  int lumps = 0;              // answers in lumps that came whole
+  int lumps_at_stop = 0;      // those that a node which had been told to end gave up or cut
+  int stopped = 0;            // answers that their backend began and stopped, begun in time and ended by the node
   int endless = 0;            // answers that their backend never ended, passed on for as long as they came
   int resent = 0;             // after a kept connection that was closed unread, or a new one in a crowd
   std::size_t highest_memory = 0;  // of one node, in bytes: resident, and waiting in its sockets; 0: not looked at
@@ -100,6 +105,7 @@
     }
     over_ = true;
     threads_.finish();
+    judge_stopped();
     slow_crowds.clear();
     for (auto& node : nodes_) stop(*node);
     breaks_.times = times_.judge();
@@ -289,6 +295,45 @@
       std::this_thread::sleep_for(milliseconds(20));
     return "";
   }
+  // Between 130 and 212 kB that tell of their request.
+  static std::string long_body(const std::string& id) {
+    const std::size_t size = 130000 + std::hash<std::string>()(id) % 82000;
+    std::string body = id + ":";
+    while (body.size() < size) body += static_cast<char>('a' + body.size() * body.size() % 25);
+    return body;
+  }
+  // Two to five lumps, the last one up to 1.7 s after the head, in any framing.
+  std::string write_lumps(const Server::Call& call, const std::string& id, std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    const std::string body = long_body(id);
+    std::this_thread::sleep_for(milliseconds(20 + random() % 60));
+    const auto framing = random() % 3;
+    const std::string head = framing == 0 ? fmt::format("Content-Length: {}\r\n", body.size()) : framing == 1 ? "Transfer-Encoding: chunked\r\n" : "";
+    if (write_all(call.fd, "HTTP/1.1 200 OK\r\n" + head + "\r\n", soon(500)) != IoResult::done) return "";
+    const TimePoint begun = TimePoint::clock::now();
+    {
+      std::lock_guard held(lock_);
+      TimePoint& first = lumps_begun_.try_emplace(id, begun).first->second;
+      first = std::min(first, begun);
+    }
+    const std::size_t lumps = 2 + random() % 4;
+    std::vector<int> at_ms(lumps, random() % 4 == 0 ? 350 : 0);
+    for (std::size_t i = 1; i < lumps; ++i) at_ms[i] = 1 + static_cast<int>(random() % 1700);
+    std::sort(at_ms.begin(), at_ms.end());
+    std::string_view left = body;
+    for (std::size_t i = 0; i < lumps; ++i) {
+      while (TimePoint::clock::now() < begun + milliseconds(at_ms[i])) {
+        if (call.server.stopping()) return "";
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+      const std::string_view lump = left.substr(0, i + 1 == lumps ? left.size() : i == 0 && random() % 3 == 0 ? 2000 : left.size() / 2);
+      left.remove_prefix(lump.size());
+      const std::string framed = framing == 1 ? fmt::format("{:x}\r\n{}\r\n", lump.size(), lump) : std::string(lump);
+      if (write_all(call.fd, framed, soon(500)) != IoResult::done) return "";
+    }
+    if (framing == 1) write_all(call.fd, "0\r\n\r\n", soon(500));
+    return "";
+  }
   std::string backend(const Server::Call& call) {
     if (call.head.find("X-Txn: crowd-") != std::string::npos) return ::crowd::answer_of_size(call);
     const auto head = parse_head(call.head);
@@ -310,9 +355,11 @@
     }
     if (static_cast<double>(drawn % 1000) < plan_.hangs * 1000) return no_news(call);
     if (static_cast<double>(drawn / 1000 % 1000) < plan_.begins * 1000) {
+      add_to(stopped_, id);
       write_all(call.fd, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + std::string(150000, 'x'), soon(500));
       return no_news(call);
     }
+    if (static_cast<double>(drawn / 1000000000 % 1000) < plan_.lumps * 1000) return write_lumps(call, id, drawn);
     if (static_cast<double>(drawn / 1000000 % 1000) < plan_.endless * 1000) {
       add_endless(id);
       return send_without_end(call);
@@ -373,9 +420,18 @@
       times_.sent(id, &node, remaining, workload + (is_new ? " new" : " kept"), sent);
       if (chance(random) < plan_.leaves) return leave(std::move(*connection), id, random);
       Response r;
-      const ReadResult got = read_response(*connection->in, sent + milliseconds(remaining + plan_.patience_ms), r);
+      std::optional<TimePoint> begun_at;
+      const ReadResult got = read_long_response(*connection, sent + milliseconds(remaining + plan_.patience_ms), id, r, begun_at);
+      const bool is_begun = r.status == 200 && begun_at;
+      if (is_begun && got != ReadResult::whole) times_.over(id, *begun_at, "begun");
+      if (is_begun && got == ReadResult::late && contains(stopped_, id)) return watch_stopped(std::move(*connection), id);
+      if (is_begun && got == ReadResult::cut && contains(stopped_, id)) return;  // so that its client can tell
+      if (got != ReadResult::whole && r.status == 200 && is_endless(id)) return;  // begun in time, and nobody but its backend can end it
+      if (judge_lumps(node, id, workload, sent, remaining, got, r)) {
+        if (got == ReadResult::whole && r.status == 200) times_.over(id, *begun_at, "begun");
+        return;
+      }
       if (got == ReadResult::whole) return answered(node, kept, std::move(*connection), r, id);
-      if (r.status == 200 && is_endless(id)) return;  // begun in time, and nobody but its backend can end it
       if (got == ReadResult::late) times_.over(id, TimePoint::clock::now(), "not answered");
       if (got == ReadResult::late && plan_.patience_ms < 500) return;  // counted as late alone: it may yet have come
       const auto after = std::chrono::duration_cast<milliseconds>(TimePoint::clock::now() - sent).count();
@@ -394,6 +450,63 @@
       ++breaks_.resent;
     }
   }
+  // Waits for a long answer in lumps until it is whole, for any other until `deadline`.
+  ReadResult read_long_response(const Connection& connection, TimePoint deadline, const std::string& id, Response& r, std::optional<TimePoint>& begun_at) {
+    constexpr std::size_t kMost = 1 << 20;
+    Body rest;
+    if (wait_readable(connection.fd.get(), deadline) == IoResult::done) begun_at = TimePoint::clock::now();
+    ReadResult got = read_response_head(*connection.in, deadline, r, rest, kMost);
+    while (got == ReadResult::whole && !rest.whole()) {
+      const bool comes_in_lumps = lumps_begun_at(id) != TimePoint::max();
+      got = rest.next(*connection.in, comes_in_lumps ? deadline + milliseconds(4000) : deadline, r.body);
+    }
+    return got;
+  }
+  // Whether the request had an answer in lumps, or one was cut or given up for it; a sound one that a node which was not told to
+  // end did not pass on whole is a break.
+  bool judge_lumps(const One& node, const std::string& id, const std::string& workload, TimePoint sent, int remaining, ReadResult got, const Response& r) {
+    const TimePoint begun = lumps_begun_at(id);
+    const bool is_whole = got == ReadResult::whole && r.status == 200;
+    if (begun == TimePoint::max() || (is_whole && r.body == id)) return false;
+    std::lock_guard held(lock_);
+    if (is_whole && r.body == long_body(id)) return ++breaks_.lumps, true;
+    const bool was_told = node.told_at.load() > sent - milliseconds(plan_.time_limit_ms + 700) || !node.runs;
+    if (was_told) return ++breaks_.lumps_at_stop, true;
+    // The decisions end an unsafe request at its due time, half of the longest limit, where its answer has not begun by then.
+    const int useful_ms = workload == "pay" ? std::min(remaining, plan_.time_limit_ms / 2) : remaining;
+    if (got == ReadResult::whole && begun > sent + milliseconds(useful_ms - 60)) return false;
+    breaks_.cut.push_back(fmt::format("{} {} {} ms, begun by its backend after {} ms, status {}, {} bytes, {}", id, workload, remaining,
+                                      std::chrono::duration_cast<milliseconds>(begun - sent).count(), r.status, r.body.size(),
+                                      kReadResultNames[static_cast<std::size_t>(got)]) + since_told(node));
+    return true;
+  }
+  TimePoint lumps_begun_at(const std::string& id) {
+    std::lock_guard held(lock_);
+    const auto at = lumps_begun_.find(id);
+    return at == lumps_begun_.end() ? TimePoint::max() : at->second;
+  }
+  void watch_stopped(Connection connection, const std::string& id) {
+    std::lock_guard held(lock_);
+    stopped_watched_.push_back({std::move(connection), id, TimePoint::clock::now() + kMaxSilence + milliseconds(1000)});
+  }
+  // Each answer that its backend stopped has to have been ended by its node, since its client can't tell else.
+  void judge_stopped() {
+    for (StoppedAnswer& answer : stopped_watched_) {
+      IoResult io = IoResult::done;
+      for (std::string bytes; io == IoResult::done; bytes.clear()) io = read_some(answer.connection.fd.get(), bytes, answer.ends_by);
+      if (io == IoResult::late) add(breaks_.lost, answer.id + " began and has no end");
+      else ++breaks_.stopped;
+    }
+    stopped_watched_.clear();
+  }
+  void add_to(std::set<std::string>& ids, const std::string& id) {
+    std::lock_guard held(lock_);
+    ids.insert(id);
+  }
+  bool contains(const std::set<std::string>& ids, const std::string& id) {
+    std::lock_guard held(lock_);
+    return ids.count(id) > 0;
+  }
   static std::string since_told(const One& node) {
     const auto ms = std::chrono::duration_cast<milliseconds>(TimePoint::clock::now() - node.told_at.load()).count();
     return ", " + node.address + ", " + (node.told_at.load() == TimePoint() ? "never told to end" : std::to_string(ms) + " ms after SIGTERM");
@@ -459,7 +572,15 @@
   std::mutex lock_;  // over the breaks, what backends saw, and their chance
   Breaks breaks_;
   Times times_;
-  std::set<std::string> seen_, endless_;
+  static constexpr milliseconds kMaxSilence{5000};  // as docs/design.md says
+  struct StoppedAnswer {
+    Connection connection;
+    std::string id;
+    TimePoint ends_by;
+  };
+  std::vector<StoppedAnswer> stopped_watched_;
+  std::map<std::string, TimePoint> lumps_begun_;  // when the first head of an answer in lumps was written
+  std::set<std::string> seen_, endless_, stopped_;
   std::map<std::string, TimePoint> closed_;
   std::mt19937_64 random_;
   std::atomic<int> resent_{0};
@@ -473,7 +594,9 @@
 
 inline std::string told(const Breaks& b) {
   std::string text = std::to_string(b.answered) + " answered, " + std::to_string(b.refused) + " refused, " +
-                     std::to_string(b.failed) + " failed, " + std::to_string(b.endless) + " without an end, " + std::to_string(b.resent) +
+                     std::to_string(b.failed) + " failed, " + std::to_string(b.endless) + " without an end, " +
+                     std::to_string(b.lumps) + " in lumps, " + std::to_string(b.lumps_at_stop) + " in lumps at a stop, " +
+                     std::to_string(b.stopped) + " stopped, " + std::to_string(b.cut.size()) + " cut, " + std::to_string(b.resent) +
                      " sent again; stops: " + std::to_string(b.ended) + " ended, " +
                      std::to_string(b.killed) + " killed; lost " + std::to_string(b.lost.size()) +
                      ", wrong " + std::to_string(b.wrong.size()) + ", begun late " +
@@ -483,7 +606,7 @@
                      std::to_string(b.times.late_at_pause.size()) + ", told too long " +
                      std::to_string(b.times.told_too_long.size()) + "; highest memory " +
                      std::to_string(b.highest_memory / 1000) + " kB";
-  for (const auto* all : {&b.lost, &b.wrong, &b.begun_late, &b.crashed, &b.times.late, &b.times.late_at_pause,
+  for (const auto* all : {&b.lost, &b.cut, &b.wrong, &b.begun_late, &b.crashed, &b.times.late, &b.times.late_at_pause,
                           &b.times.told_too_long})
     for (std::size_t i = 0; i < std::min<std::size_t>(all->size(), 40); ++i) text += "\n  " + (*all)[i];
   return text;
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -66,6 +66,7 @@
   const Breaks breaks = run.play();
   WARN(told(breaks));
   CHECK(breaks.lost.empty());
+  CHECK(breaks.cut.empty());
   CHECK(breaks.wrong.empty());
   CHECK(breaks.begun_late.empty());
   CHECK(breaks.crashed.empty());
@@ -711,6 +712,7 @@
     else if (key == "hangs") plan.hangs = value;
     else if (key == "begins") plan.begins = value;
     else if (key == "endless") plan.endless = value;
+    else if (key == "lumps") plan.lumps = value;
     else if (key == "leaves") plan.leaves = value;
     else if (key == "slow") plan.slow = value;
     else if (key == "limit_ms") plan.time_limit_ms = static_cast<int>(value);
@@ -751,6 +753,13 @@
   check_soak(plan);
 }
 
+TEST_CASE("a short soak with long answers in lumps, restarts and signals in series breaks no rule", "[faults]") {
+  Plan plan = short_soak(GENERATE(as<std::uint64_t>(), 4107, 4108));
+  plan.lumps = 0.1;
+  plan.clients = 16;
+  check_soak(plan);
+}
+
 TEST_CASE("a short soak beside clients that write and read slowly breaks no rule and stays within the least memory", "[faults]") {
   Plan plan = short_soak(4105);
   plan.slow_crowd = 200;
