A soak that can't start a process ends instead of waiting for its own threads

Seen once: beside the fleet test in full a soak stood still for 20 minutes. What is known: the fleet test's own program failed at that time with EAGAIN as it began a thread; a check that fails in Run::play() left the test waiting for clients that nobody told to end.

--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -80,6 +80,12 @@
     }
   }
 
+  // A check that fails in play() leaves it while its threads run.
+  ~Run() {
+    over_ = true;
+    threads_.finish();
+  }
+
   Breaks play() {
     for (auto& node : nodes_) start(*node);
     const TimePoint end = TimePoint::clock::now() + plan_.length;
