Failing test: a long answer in lumps without a length, at a node that is told to end

Real processes: 6 of 6 were answered 502 or 503 at their limit of 0.69 s, though the node stayed for 2.5 s more and the backend gave the rest 1.1 s later. Found by playing an upgrade by hand (6 of 6 in chunks whose limits lay after SIGTERM).

--- a/tests/lump_answer_test.cpp
+++ b/tests/lump_answer_test.cpp
@@ -203,3 +203,15 @@
   Pulse reloads(process);
   check_whole(asked, body_of(kLumps[2].bytes));
 }
+
+// Guards against a sound answer that a stopping node gives up long before its end, since nothing tells its length.
+TEST_CASE("a long answer written in lumps without a length reaches its client whole though its node is told to end meanwhile", "[answers]") {
+  constexpr int kLongestLimit = 3000;  // so the node stays for 3.3 s, and the last lump comes after 1.8 s
+  const Form form = GENERATE(Form::chunked, Form::to_end);
+  INFO(name_of(form));
+  Process process(std::vector<Server::Handler>(2, writes(kLumps[0], form)), {true, 2000, kLongestLimit});
+  std::vector<Asked> asked = ask_all(process.address(), kLumps[0].bytes, "stop", {690});
+  std::this_thread::sleep_for(milliseconds(200));  // they are under way
+  ::kill(process.id(), SIGTERM);
+  check_whole(asked, body_of(kLumps[0].bytes));
+}
--- a/tests/node_process.h
+++ b/tests/node_process.h
@@ -30,6 +30,7 @@
   }
   explicit Process(const std::vector<std::string>& backends, const Terms& terms = {}) { start(backends, terms); }
   const std::string& address() const { return address_; }
+  pid_t id() const { return program_->id(); }
   void reload(bool may_cancel) const {
     auto json = json_;
     json["settings"]["bounds"]["cancel"] = may_cancel;
