A stopping node passes on a long answer without a length if as much time is left as it has taken

What callers saw: 502 or 503 at the limit for a sound answer in chunks or to the close, though the node stayed for 2.5 s more.

Cause: a node that ends asked for a length before it passed anything on; without one it gave up at the limit, however far its end.

Why it works: without a length the rest is taken to need as long as the part that has come, as the mean pace says of one with a length. The tests of what can't be whole before the end hold as they were.

--- a/src/policy/answer_delivery.cpp
+++ b/src/policy/answer_delivery.cpp
@@ -44,7 +44,8 @@
 }
 
 bool AnswerDelivery::is_likely_complete_by(TimePoint limit, TimePoint now) const {
-  if (!length_ || received_bytes() == 0) return false;
+  if (received_bytes() == 0) return false;
+  if (!length_) return now - head_at_ <= limit - now;
   return pace_.time_for(*length_ - received_bytes(), now) < limit - now;
 }
 
--- a/src/policy/answer_delivery.h
+++ b/src/policy/answer_delivery.h
@@ -85,7 +85,8 @@
  private:
   // From when on the answer is forwarded, as far as is known at `now`.
   TimePoint forward_from(TimePoint now) const;
-  // Whether the rest is likely to arrive by `limit`. Without a length nothing tells.
+  // Whether the rest is likely to arrive by `limit`. Without a length it is taken to need as long as the part
+  // that has arrived.
   bool is_likely_complete_by(TimePoint limit, TimePoint now) const;
 
   const TimePoint head_at_, deadline_;
