--- a/src/core/upload_estimate.cpp
+++ b/src/core/upload_estimate.cpp
@@ -22,7 +22,7 @@
 bool UploadEstimate::was_unwritten_at(const Look& look) {
   const bool is_idle = is_sender_idle(look);
   if (!end_) return is_idle;
-  return look.arrived_bytes + sizes_.max_send_buffer < *end_ || (is_idle && look.arrived_bytes < *end_);
+  return look.arrived_bytes + kMaxSendBufferBytes < *end_ || (is_idle && look.arrived_bytes < *end_);
 }
 
 bool UploadEstimate::is_sender_idle(const Look& look) {
@@ -45,11 +45,11 @@
   if (look.at - reading_since_.at < kSettleTime) return false;
   const std::uint64_t arrived_bytes = look.arrived_bytes - reading_since_.arrived_bytes;
   reading_since_ = look;
-  return arrived_bytes < sizes_.min_receive_window;
+  return arrived_bytes < min_receive_window_;
 }
 
 void UploadEstimate::add_sample(const Look& look) {
-  while (!samples_.empty() && samples_.front().arrived_bytes + sizes_.max_send_buffer < look.arrived_bytes) {
+  while (!samples_.empty() && samples_.front().arrived_bytes + kMaxSendBufferBytes < look.arrived_bytes) {
     unwritten_until_ = std::max(unwritten_until_, samples_.front().at);
     samples_.pop_front();
   }
--- a/src/core/upload_estimate.h
+++ b/src/core/upload_estimate.h
@@ -4,7 +4,7 @@
 // node reads slowly, the rest of the body waits in the send buffer of the client's machine, which the node
 // can't see. What the node can observe is how many bytes have arrived, and whether the socket is empty. A
 // look at the socket shows that the last byte was unwritten if
-//  - more bytes are missing than the largest send buffer holds, or
+//  - more bytes are missing than a send buffer holds, or
 //  - bytes are missing although the client's machine has nothing more to send.
 // An empty socket alone does not show the latter: after the node has read on, the bytes of a full send buffer
 // take a while to arrive. If the node has paused in its reading, so that the send buffer may have filled, an
@@ -32,10 +32,9 @@
   // A pause in the node's reading up to this length lets no send buffer fill.
   static constexpr std::chrono::milliseconds kMaxReadPause{10};
 
-  struct BufferSizes {
-    std::uint64_t max_send_buffer = 0;     // the most that the client's machine may hold
-    std::uint64_t min_receive_window = 0;  // the least that it may send at once while the socket is empty
-  };
+  // The largest send buffer that Linux gives to a connection by itself, and the piece that may exceed it.
+  static constexpr std::uint64_t kMaxSendBufferBytes = (4 << 20) + (256 << 10);
+
   // A look at the client's socket. Bytes are counted from the start of the connection.
   struct Look {
     // The look began at this time.
@@ -49,9 +48,10 @@
   };
 
   // `started_at`: the last byte was unwritten then. `end`: the count of arrived bytes at which the body is
-  // whole; empty: not known.
-  UploadEstimate(TimePoint started_at, std::optional<std::uint64_t> end, const BufferSizes& sizes)
-      : unwritten_until_(started_at), end_(end), sizes_(sizes) {}
+  // whole; empty: not known. `min_receive_window`: the least that the client's machine may send at once while
+  // the socket is empty.
+  UploadEstimate(TimePoint started_at, std::optional<std::uint64_t> end, std::uint64_t min_receive_window)
+      : unwritten_until_(started_at), end_(end), min_receive_window_(min_receive_window) {}
   // Adds a look that was made before the whole body was read.
   void add(const Look& look);
   // The last byte was still unwritten at this time.
@@ -65,7 +65,7 @@
 
   TimePoint unwritten_until_;
   const std::optional<std::uint64_t> end_;
-  const BufferSizes sizes_;
+  const std::uint64_t min_receive_window_;
   // The node has paused in its reading, and the client's machine was not seen idle since.
   bool may_hold_more_ = false;
   // The first of the latest looks that found the socket empty and the same count of bytes.
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -377,11 +377,10 @@
         request.remaining_body.framing() == Framing::length ? request.remaining_body.left() : kMaxBodyBytes);
     invocation.valid_until += (remaining_bytes / kMinBytesPerMs + kBodyPieceTimeout.count()) * kTenthsPerMs;
     invocation.has_streaming_body = true;
-    context->streamed_body.emplace(
-        context->client_access, fd_.get(), reader_, arrival_, context->request.remaining_body,
-        std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin,
-        core::UploadEstimate::BufferSizes{node_.max_send_buffer_bytes_,
-                                          static_cast<std::uint64_t>(node_.limits_.socket_buffer)});
+    context->streamed_body.emplace(context->client_access, fd_.get(), reader_, arrival_,
+                                   context->request.remaining_body,
+                                   std::chrono::milliseconds(request.remaining_ms) - kAnswerMargin,
+                                   static_cast<std::uint64_t>(node_.limits_.socket_buffer));
   }
   invocation.hint = request.hint_micros / 100;
   invocation.is_client_retry = request.is_client_retry;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -21,7 +21,6 @@
 #include "net/node_limits.h"
 #include "net/peers.h"
 #include "net/pool.h"
-#include "net/send_buffers.h"
 #include "net/sibling.h"
 #include "net/terms.h"
 #include "net/threads.h"
@@ -222,8 +221,6 @@
   int consecutive_accept_shortages_ = 0;
   // The last accept call succeeded, so the accept queue has not been found empty since.
   bool may_have_more_queued_ = false;
-  // The most that a client's machine may hold of a request, taken to be set up as this one is.
-  const std::uint64_t max_send_buffer_bytes_ = max_send_buffer_bytes(read_send_buffer_limits());
   core::ArrivalEstimate accept_queue_estimate_{started_at_};
   // Receive times of the system: their check was requested; the check has passed.
   std::atomic<bool> is_system_time_check_requested_{false}, trusts_system_times_{false};
--- a/src/net/streamed_body.cpp
+++ b/src/net/streamed_body.cpp
@@ -20,11 +20,10 @@
 
 StreamedBody::StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader,
                            core::ArrivalEstimate& arrival, Body& remaining_body,
-                           std::chrono::milliseconds answer_time,
-                           const core::UploadEstimate::BufferSizes& sizes)
+                           std::chrono::milliseconds answer_time, std::uint64_t min_receive_window)
     : access_(access), client_fd_(client_fd), reader_(reader), arrival_(arrival),
       remaining_body_(remaining_body), answer_time_(answer_time),
-      upload_(arrival.earliest(), end_of(reader, remaining_body), sizes) {}
+      upload_(arrival.earliest(), end_of(reader, remaining_body), min_receive_window) {}
 
 ReadResult StreamedBody::next(std::string& piece, const std::function<bool()>& is_cancelled) {
   is_partly_consumed_ = true;
--- a/src/net/streamed_body.h
+++ b/src/net/streamed_body.h
@@ -19,11 +19,11 @@
 class StreamedBody {
  public:
   // `remaining_body`: what `reader` has not read yet from the connection `client_fd`. `answer_time`: how long
-  // the client waits for its answer after it wrote the last byte. `sizes`: of the buffers on the way.
+  // the client waits for its answer after it wrote the last byte. `min_receive_window`: see
+  // core::UploadEstimate.
   // `client_fd`, `reader` and `arrival` belong to the connection and are used through `access` only.
   StreamedBody(ConnectionAccess& access, int client_fd, Reader& reader, core::ArrivalEstimate& arrival,
-               Body& remaining_body, std::chrono::milliseconds answer_time,
-               const core::UploadEstimate::BufferSizes& sizes);
+               Body& remaining_body, std::chrono::milliseconds answer_time, std::uint64_t min_receive_window);
   // Reads the next piece from the client. `cut` also if the access has ended, or as soon as `is_cancelled()`.
   ReadResult next(std::string& piece, const std::function<bool()>& is_cancelled);
   // Looks at the client's connection. Returns the time by which the request has to be answered, as far as is
