--- a/tests/lump_answer_test.cpp
+++ b/tests/lump_answer_test.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <future>
+#include <numeric>
 
 #include "answer_client.h"
 #include "node_process.h"
@@ -215,3 +216,22 @@
   ::kill(process.id(), SIGTERM);
   check_whole(asked, body_of(kLumps[0].bytes));
 }
+
+// Guards against a backend that counts as well since its answers begin, though none of them comes whole.
+TEST_CASE("a backend that stops in each long answer is left for those that are well", "[answers]") {
+  const bool may_cancel = GENERATE(true, false);
+  INFO("cancel " << may_cancel);
+  const Lumps stops{"stops", 130653, {{0, 0.5}, {60000, 0.5}}}, at_once{"at once", 130653, {{0, 1}}};
+  constexpr int kRounds = 8, kEach = 8, kLimit = 300;
+  const Process process({writes(stops, Form::length, 1), writes(at_once, Form::length), writes(at_once, Form::length)}, Terms{may_cancel});
+  std::vector<int> broken;  // by round
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::future<Seen>> all;
+    for (int i = 0; i < kEach; ++i) all.push_back(std::async(std::launch::async, [&process] { return ask(process.address(), "pay", kLimit, 130653); }));
+    broken.push_back(0);
+    for (auto& one : all) broken.back() += one.get().result != ReadResult::whole;
+  }
+  INFO("broken by round: " << Catch::Detail::stringify(broken));
+  // A third of them would be its share; the posterior tries it now and then.
+  CHECK(std::accumulate(broken.begin() + kRounds / 2, broken.end(), 0) <= kRounds / 2 * kEach / 6);
+}
