A forwarded answer counts for its backend when it ends, not when it begins

Cause: since answers are passed on however they pause, such an answer was reported as succeeded as it began, which made the backend look well. The break that followed was told to nobody.

Why it works: the report says that the answer is partial, and teaches nothing of health and times; ForwardedAnswerEnded says how it ended. What its client or the node's stop ended counts for nobody.

--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -76,7 +76,7 @@
   if (is_first_success) finalize(*invocation);
   try {
     handle_event(lock, HandOffEnded{invocation->index, number, ending, invocation->is_final, elapsed,
-                                    details.is_body_consumed});
+                                    details.is_body_consumed, details.is_partial});
   } catch (...) {  // the caller of next_instruction() must get a final instruction, or it would wait forever
     if (!invocation->is_final)
       finalize(*invocation), add_instruction(*invocation, {InstructionKind::give_up, 0, kNone, 0, 0});
@@ -97,6 +97,11 @@
   if (!invocation->is_final) handle_event(lock, AnswerBegun{invocation->index, number});
 }
 
+void Balancer::forwarded_answer_ended(Index backend, Index workload, bool is_complete) {
+  std::unique_lock lock(lock_);
+  handle_event(lock, ForwardedAnswerEnded{backend, workload, is_complete});
+}
+
 void Balancer::body_sent(const InvocationHandle& invocation, int number) {
   std::unique_lock lock(lock_);
   if (!invocation->is_final) handle_event(lock, BodySent{invocation->index, number});
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -83,6 +83,8 @@
     TenthsOfMs elapsed =
         -1;  // time since the request was sent whole; -1: unknown, measured from the decision
     bool is_body_consumed = false;  // the request body can't be sent again
+    // The answer is forwarded before it is complete; forwarded_answer_ended() tells how it ends.
+    bool is_partial = false;
   };
   // Reports how a hand-off ended. Must be called once for each hand-off that was received, also after a
   // cancellation.
@@ -98,6 +100,9 @@
   // The answer of hand-off `number` has begun, and will be forwarded shortly before the deadline of the
   // hand-off even if it is not complete then. May be called again.
   void answer_begun(const InvocationHandle& invocation, int number);
+  // A forwarded answer is complete, or its backend failed to send the rest. The caller makes sure that the
+  // indices are still in use.
+  void forwarded_answer_ended(Index backend, Index workload, bool is_complete);
   // The answer of hand-off `number` has begun and pauses.
   void answer_paused(const InvocationHandle& invocation, int number);
   // The client has disconnected. Has no effect after the final answer.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -333,7 +333,7 @@
     HandOffEnded ended = event;
     Invocation& invocation = invocations_[ended.invocation];
     HandOff& hand_off = invocation.hand_offs[ended.number];
-    record_answer_time(invocation, ended);
+    if (!ended.is_partial) record_answer_time(invocation, ended);
     // A hand-off that was abandoned early had about as much time as a hand-off that runs up to the limit, so
     // its end counts as a time-out.
     if (hand_off.was_abandoned && ended.ending == Ending::recalled) ended.ending = Ending::timed_out;
@@ -357,9 +357,9 @@
     if (slow || !(timed_out || lost)) update_limits(backend, hand_off, invocation, ended);
     if (hand_off.reported_load > 0 && (ended.ending == Ending::succeeded || timed_out))
       update_load_limit(hand_off, invocation, ended);
-    if (slow || !timed_out) update_health(backend, invocation, ended);
+    if ((slow || !timed_out) && !ended.is_partial) update_health(backend, invocation, ended);
     update_connections(backend, hand_off, ended.ending);
-    if (ended.ending == Ending::succeeded) {
+    if (ended.ending == Ending::succeeded && !ended.is_partial) {
       backend.work_done.add(now_, hand_off.work);
       mean_latency_[invocation.workload] +=
           (static_cast<double>(ended.elapsed) - mean_latency_[invocation.workload]) / 64;
@@ -389,6 +389,16 @@
       invocations_[event.invocation].hand_offs[event.number].will_be_forwarded = true;
   }
 
+  void handle(const ForwardedAnswerEnded& event) {
+    if (event.backend >= backends_.size() || event.workload >= workloads_.size()) return;
+    Backend& backend = backends_[event.backend];
+    if (!backend.is_known) return;
+    record_outcome(backend.workload_health[event.workload], fleet_health_by_workload_[event.workload],
+                   event.is_complete, false);
+    if (!record_outcome(backend.health, fleet_health_, event.is_complete, false))
+      replace_in_subset(event.backend);
+  }
+
   void handle(const BodySent& event) {
     if (!is_known_hand_off(event.invocation, event.number)) return;
     HandOff& hand_off = invocations_[event.invocation].hand_offs[event.number];
--- a/src/decide.h
+++ b/src/decide.h
@@ -132,6 +132,15 @@
   bool is_final = false;          // the invocation has its final answer
   TenthsOfMs elapsed = 0;         // since the hand-off was sent
   bool is_body_consumed = false;  // no part of the body is left that could be sent again
+  // Succeeded: the answer is forwarded before it is complete. ForwardedAnswerEnded follows.
+  bool is_partial = false;
+};
+// The rest of an answer that was forwarded before it was complete has arrived, or its backend failed to send
+// it.
+struct ForwardedAnswerEnded {
+  Index backend = kNone;  // still listed under this index
+  Index workload = 0;
+  bool is_complete = false;
 };
 // The answer of this hand-off is being forwarded to the client: the invocation can get no other answer.
 struct AnswerStarted {
@@ -198,9 +207,9 @@
 // backend_counts answers.
 struct BackendCounts {};
 
-using Event =
-    std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, AnswerProgress, AnswerBegun, AnswerPaused,
-                 BodySent, ClientGone, TimerDue, ProbeEnded, NewSettings, ShutdownRequested, BackendCounts>;
+using Event = std::variant<FleetList, Arrival, HandOffEnded, AnswerStarted, AnswerProgress, AnswerBegun,
+                           AnswerPaused, ForwardedAnswerEnded, BodySent, ClientGone, TimerDue, ProbeEnded,
+                           NewSettings, ShutdownRequested, BackendCounts>;
 
 // The members of Action that each kind uses follow it.
 enum class ActionKind {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -106,6 +106,8 @@
   // Indexed by the number of the hand-off. Changed by the thread that serves the client; while that thread
   // runs a hand-off itself, by the thread that holds the balancer's lock.
   std::deque<std::shared_ptr<Exchange>> exchanges;
+  // The backend of each hand-off, as `exchanges`.
+  std::deque<Index> backends;
 };
 
 ClientConnection::ClientConnection(Node& node, Fd fd, bool is_within_budget,
@@ -570,7 +572,9 @@
       return reject(context, 0, keep_open);
     }
     ++node_.counters_.succeeded;
-    if (!exchange.remaining_body().whole()) return forward_answer(context, exchange, keep_open);
+    if (!exchange.remaining_body().whole())
+      return forward_answer(context, exchange,
+                            context.backends.at(static_cast<std::size_t>(instruction.number)), keep_open);
     ++context.workload_entry.answers->succeeded;
     return send_kept_answer(exchange, keep_open) && keep_open;
   }
@@ -637,10 +641,19 @@
   ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
+// Tells the balancer how a forwarded answer ended, unless its backend is gone.
+void ClientConnection::report_forwarded(const InvocationContext& context, const Exchange& exchange,
+                                        Index backend, bool is_complete) {
+  if (!node_.directory_.is_still_running(backend, exchange.target().instance_id)) return;
+  node_.balancer_.forwarded_answer_ended(backend, context.workload_entry.workload_handle.workload,
+                                         is_complete);
+}
+
 // Forwards an answer as it arrives, because the answer is too long to be buffered or arrives slowly. What the
 // backend still sends is never cut. If the answer breaks, the client can see that it is incomplete, even
 // if this process is killed.
-bool ClientConnection::forward_answer(const InvocationContext& context, Exchange& exchange, bool keep_open) {
+bool ClientConnection::forward_answer(const InvocationContext& context, Exchange& exchange, Index backend,
+                                      bool keep_open) {
   const Response& r = exchange.answer();
   const bool has_length = exchange.remaining_body().framing() == Framing::length;
   const bool is_chunked = !has_length && !context.request.is_http_1_0;
@@ -658,7 +671,7 @@
   if (ends_at_close) set_reset_on_close(true);
   std::size_t forwarded_bytes = 0;
   const TimePoint started_at = TimePoint::clock::now();
-  TimePoint last_piece_at = started_at;
+  TimePoint last_piece_at = started_at, last_wait_ended_at = started_at;
   // What has to be written before the next piece of the body: the head, or the end of the chunk before.
   std::string before_piece = std::move(head);
   const auto forward = [&](const std::string& piece) {
@@ -674,8 +687,9 @@
   while (is_client_reading && read_result == ReadResult::whole && !exchange.remaining_body().whole()) {
     piece.clear();
     read_result = next_answer_piece(context, exchange, piece);
+    last_wait_ended_at = TimePoint::clock::now();
     if (read_result != ReadResult::whole) break;
-    last_piece_at = TimePoint::clock::now();
+    last_piece_at = last_wait_ended_at;
     is_client_reading = piece.empty() || forward(piece);
   }
   bool is_complete = is_client_reading && read_result == ReadResult::whole;
@@ -683,6 +697,9 @@
   const std::string_view outcome =
       is_client_reading ? kReadResultNames[static_cast<std::size_t>(read_result)] : "client_gone";
   trace_forwarding(context, "ends", outcome, forwarded_bytes);
+  const bool was_ended_by_stop =
+      read_result == ReadResult::late && last_wait_ended_at >= node_.answer_deadline_.load();
+  if (is_client_reading && !was_ended_by_stop) report_forwarded(context, exchange, backend, is_complete);
   exchange.release_connection();
   ++(is_complete ? context.workload_entry.answers->succeeded : context.workload_entry.answers->given_up);
   if (is_complete && ends_at_close) set_reset_on_close(false);
@@ -737,15 +754,17 @@
                              {"held_ms", milliseconds_between(context.seen_at, now)}});
 }
 
-// Counts how a hand-off ended and reports the end to the balancer.
+// Counts how a hand-off ended and reports the end to the balancer. `is_partial`: its answer is forwarded
+// before it is complete.
 void ClientConnection::finish_hand_off(Node& node, const InvocationContext& context, int number,
-                                       ExchangeResult result) {
+                                       ExchangeResult result, bool is_partial) {
   node.counters_.count(result);
   const Ending ending = classify_result(result);
   const bool never_ran =
       ending == Ending::turned_away || ending == Ending::unreachable || ending == Ending::never_sent;
   if (!never_ran) context.transaction->keep_for(context.workload_entry.id_keep_time);
   core::Balancer::HandOffDetails details;
+  details.is_partial = is_partial;
   // The time that the client took to send its body says nothing about the backend.
   if (context.has_streaming_body) {
     note_unsent_body(node, context, number, result);
@@ -832,6 +851,8 @@
                                                      context->request_config->connect_timeout);
     context->exchanges.resize(static_cast<std::size_t>(instruction.number) + 1);
     context->exchanges.back() = exchange;
+    context->backends.resize(context->exchanges.size(), kNone);
+    context->backends.back() = instruction.backend;
     const auto target = node.directory_.find(instruction.backend);
     if (!target) return {};
     SendConditions conditions;
@@ -871,7 +892,8 @@
       trace_hand_off(*context, number, *target, started_at, *exchange, result);
       if (result != ExchangeResult::answered)
         note_dropped_answer(node, *context, number, *target, *exchange, result);
-      finish_hand_off(node, *context, number, result);
+      const bool is_partial = result == ExchangeResult::answered && !exchange->remaining_body().whole();
+      finish_hand_off(node, *context, number, result, is_partial);
     };
   } catch (const std::exception& failure) {
     log::error("hand-off: {}", failure.what());
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -67,7 +67,9 @@
   bool reject(const InvocationContext& context, TenthsOfMs retry_in, bool keep_open);
   bool is_refused_for_memory(const InvocationContext& context, Exchange& exchange) const;
   bool send_kept_answer(Exchange& exchange, bool keep_open);
-  bool forward_answer(const InvocationContext& context, Exchange& exchange, bool keep_open);
+  bool forward_answer(const InvocationContext& context, Exchange& exchange, Index backend, bool keep_open);
+  void report_forwarded(const InvocationContext& context, const Exchange& exchange, Index backend,
+                        bool is_complete);
   ReadResult next_answer_piece(const InvocationContext& context, Exchange& exchange, std::string& piece);
   void set_reset_on_close(bool is_enabled);
   // When the last byte of a request arrived.
@@ -99,8 +101,8 @@
   static void cancel(const InvocationContext& context, int number);
   static void note_unsent_body(Node& node, const InvocationContext& context, int number,
                                ExchangeResult result);
-  static void finish_hand_off(Node& node, const InvocationContext& context, int number,
-                              ExchangeResult result);
+  static void finish_hand_off(Node& node, const InvocationContext& context, int number, ExchangeResult result,
+                              bool is_partial = false);
   static void trace_hand_off(const InvocationContext& context, int number, const Target& target,
                              TimePoint started_at, const Exchange& exchange, ExchangeResult result);
   static void note_dropped_answer(Node& node, const InvocationContext& context, int number,
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -66,6 +66,7 @@
   TimePoint first_byte_at() const { return first_byte_at_; }
   // Makes run() return early. Shuts the connection down; callable from any thread.
   void cancel() { interrupter_.interrupt(); }
+  const Target& target() const { return target_; }    // valid after run()
   const Response& answer() const { return answer_; }  // its head; valid after run()
   AnswerBody& kept_body() { return kept_body_; }
   const AnswerRecord& answer_record() const { return answer_record_; }  // valid after run()
