--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -655,12 +655,13 @@
   // forwarded answer that is late by that is better than the loss of it.
   void give_up_at_limit(Index index) {
     const Invocation& invocation = invocations_[index];
+    const TenthsOfMs wait_until = std::min(invocation.valid_until + kMaxStall, answer_by_ - answer_margin_);
     const bool will_be_answered =
-        invocation.valid_until < answer_by_ && now_ < invocation.valid_until + kMaxStall &&
+        now_ < wait_until &&
         std::any_of(invocation.hand_offs.begin(), invocation.hand_offs.end(), [](const HandOff& hand_off) {
           return hand_off.will_be_forwarded && hand_off.execution == Execution::in_flight;
         });
-    if (will_be_answered) schedule_check(invocation.valid_until + kMaxStall, index);
+    if (will_be_answered) schedule_check(wait_until, index);
     else give_final_answer(index);
   }
   void abandon_if_unlikely(Index index) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -799,6 +799,17 @@
       CHECK(f.balancer.is_answered(ticket));
     }
   }
+  SECTION("a stop soon after its limit leaves its thread no longer than that") {
+    Facade f(Semantics::idempotent, 3, kAllowance * kMs);
+    const InvocationHandle ticket = f.accept(kLimit);
+    const Instruction step = f.balancer.next_instruction(ticket);
+    f.balancer.answer_begun(ticket, step.number);
+    f.balancer.answer_all_by(f.clock.now() + (kLimit + 50) * kMs);
+    f.pass(kLimit + 50 - 2 * kTick - 1);
+    CHECK_FALSE(f.balancer.is_answered(ticket));
+    f.pass(2 * kTick + 1);
+    CHECK(f.balancer.is_answered(ticket));
+  }
   SECTION("a stop waits for no answer that has begun") {
     Facade f(Semantics::idempotent, 3, kAllowance * kMs);
     const InvocationHandle ticket = f.accept(kLimit);
