A process held up in its wait for a long request's bytes counts as a pause in its reading

Cause: the pause after which an empty socket proves nothing was measured between two attempts to read. A process that stands still inside one had not read either, and the client's send buffer filled meanwhile.

Why it works: an attempt that took longer than it was given counts from its start.

--- a/src/net/streamed_body.cpp
+++ b/src/net/streamed_body.cpp
@@ -33,9 +33,12 @@
     if (is_cancelled()) return ReadResult::cut;
     const bool has_access = access_.with_connection([&] {
       look();
-      read_result = remaining_body_.next_buffered(
-          reader_, std::min(deadline, TimePoint::clock::now() + kMaxAccessTime), piece);
-      last_read_at_ = TimePoint::clock::now();
+      const TimePoint wait_started_at = TimePoint::clock::now();
+      read_result =
+          remaining_body_.next_buffered(reader_, std::min(deadline, wait_started_at + kMaxAccessTime), piece);
+      const TimePoint now = TimePoint::clock::now();
+      const bool was_held_up = now - wait_started_at > 2 * kMaxAccessTime;
+      last_read_at_ = was_held_up ? wait_started_at : now;
       if (remaining_body_.whole()) set_read_whole();
     });
     if (!has_access) return ReadResult::cut;
--- a/src/net/streamed_body.h
+++ b/src/net/streamed_body.h
@@ -60,6 +60,7 @@
   core::UploadEstimate upload_;
   TimePoint answer_deadline_;  // of the last look
   std::optional<TimePoint> last_byte_at_;
+  // The end of the last attempt to read, or its start if the thread was held up in it.
   TimePoint last_read_at_ = TimePoint::clock::now();
   bool is_partly_consumed_ = false;
   TimePoint sent_at_;
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -410,6 +410,23 @@
   CHECK(answered_after(visitor, sent) <= milliseconds(kLimit) + kClientSlack);
 }
 
+// Guards against a socket that seems to show an idle client after its process has stood still in a wait for it.
+TEST_CASE("a request whose body flows is answered by its client's limit though its bytes come late after the process stood still", "[faults]") {
+  constexpr int kLimit = 300;
+  FaultyNode node("call=ppoll,hold_after_ms=140", no_news, false, std::string(kSystemTellsNothing) + ";call=arrival,gap_ms=8,each_bytes=65536");
+  REQUIRE(node.comes_up());
+  const std::string whole = request("order", std::string(3'000'000, 'x'), kLimit);
+  Visitor visitor(node.address());
+  visitor.send(whole.substr(0, 600000));
+  std::this_thread::sleep_for(milliseconds(300));  // all of that has been passed on: the rest is waited for
+  node.turn_on();
+  visitor.send(whole.substr(600000));
+  const TimePoint sent = TimePoint::clock::now();
+  std::this_thread::sleep_until(sent + milliseconds(100));
+  node.turn_off();
+  CHECK(answered_after(visitor, sent) <= milliseconds(kLimit) + kClientSlack);
+}
+
 // Guards against a last byte that is taken for unsent since the system tells of no unread bytes.
 TEST_CASE("a request whose body flows is answered by its client's limit whatever the system says is unread", "[faults]") {
   constexpr int kLimit = 300;
