Tests: one probe of readiness; the soak holds every node that was not told to end to its answers in lumps

The soak excused a node for the SIGTERM of the process before it at its address; now only for its own. The probe stood in three headers. A wait by sleeping became one for the backends' calls.

--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -126,7 +126,9 @@
     std::mutex lock;                     // over the process's life, against who stops and continues it
     std::atomic<bool> takes_new{false};  // as its front sees it
     std::atomic<bool> runs{false}, told{false};  // told: to end
-    std::atomic<TimePoint> told_at{TimePoint()};
+    std::atomic<TimePoint> told_at{TimePoint()}, ready_at{TimePoint()};
+    // Whether the process that runs now has been told to end.
+    bool is_stopping() const { return told_at.load() > ready_at.load(); }
     std::atomic<int> lives{0};
   };
 
@@ -159,18 +161,10 @@
       node.told = false;
       ++node.lives;
     }
-    const TimePoint limit = soon(10000);
-    while (TimePoint::clock::now() < limit) {
-      Fd fd = new_socket();
-      Reader in(fd.get());
-      Response r;
-      if (connect_to(fd.get(), parse_address(node.address), soon(300)) == IoResult::done &&
-          write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == IoResult::done &&
-          read_response(in, soon(300), r) == ReadResult::whole && r.status == 200) {
-        node.takes_new = node.runs = true;
-        return;
-      }
-      std::this_thread::sleep_for(milliseconds(5));
+    if (becomes_ready(node.address)) {
+      node.ready_at = TimePoint::clock::now();
+      node.takes_new = node.runs = true;
+      return;
     }
     add(breaks_.crashed, node.address + " was not ready within 10 s of its start");
   }
@@ -423,6 +417,7 @@
         continue;
       }
       const TimePoint sent = TimePoint::clock::now();  // its time counts from its last byte
+      const bool was_stopping = node.is_stopping();
       times_.sent(id, &node, remaining, workload + (is_new ? " new" : " kept"), sent);
       if (chance(random) < plan_.leaves) return leave(std::move(*connection), id, random);
       Response r;
@@ -433,7 +428,7 @@
       if (is_begun && got == ReadResult::late && contains(stopped_, id)) return watch_stopped(std::move(*connection), id);
       if (is_begun && got == ReadResult::cut && contains(stopped_, id)) return;  // so that its client can tell
       if (got != ReadResult::whole && r.status == 200 && is_endless(id)) return;  // begun in time, and nobody but its backend can end it
-      if (judge_lumps(node, id, workload, sent, remaining, got, r)) {
+      if (judge_lumps(node, was_stopping, id, workload, sent, remaining, got, r)) {
         if (got == ReadResult::whole && r.status == 200) times_.over(id, *begun_at, "begun");
         return;
       }
@@ -470,13 +465,13 @@
   }
   // Whether the request had an answer in lumps, or one was cut or given up for it; a sound one that a node which was not told to
   // end did not pass on whole is a break.
-  bool judge_lumps(const One& node, const std::string& id, const std::string& workload, TimePoint sent, int remaining, ReadResult got, const Response& r) {
+  bool judge_lumps(const One& node, bool was_stopping, const std::string& id, const std::string& workload, TimePoint sent, int remaining, ReadResult got, const Response& r) {
     const TimePoint begun = lumps_begun_at(id);
     const bool is_whole = got == ReadResult::whole && r.status == 200;
     if (begun == TimePoint::max() || (is_whole && r.body == id)) return false;
     std::lock_guard held(lock_);
     if (is_whole && r.body == long_body(id)) return ++breaks_.lumps, true;
-    const bool was_told = node.told_at.load() > sent - milliseconds(plan_.time_limit_ms + 700) || !node.runs;
+    const bool was_told = was_stopping || node.told_at.load() >= sent - milliseconds(50);  // noted a moment after the signal
     if (was_told) return ++breaks_.lumps_at_stop, true;
     // The decisions end an unsafe request at its due time, half of the longest limit, where its answer has not begun by then.
     const int useful_ms = workload == "pay" ? std::min(remaining, plan_.time_limit_ms / 2) : remaining;
--- a/tests/faulty_node.h
+++ b/tests/faulty_node.h
@@ -48,19 +48,7 @@
   }
   void turn_on() { switch_.write(""); }
   void turn_off() { std::filesystem::remove(switch_.path()); }
-  bool comes_up() const {
-    for (const TimePoint limit = soon(10000); TimePoint::clock::now() < limit;
-         std::this_thread::sleep_for(milliseconds(5))) {
-      const Fd fd = new_socket();
-      Reader in(fd.get());
-      Response r;
-      if (connect_to(fd.get(), parse_address(address_), soon(300)) == IoResult::done &&
-          write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == IoResult::done &&
-          read_response(in, soon(300), r) == ReadResult::whole && r.status == 200)
-        return true;
-    }
-    return false;
-  }
+  bool comes_up() const { return becomes_ready(address_); }
   const std::string& address() const { return address_; }
   Program& program() { return *program_; }
   Server& backend() { return backend_; }
--- a/tests/lump_answer_test.cpp
+++ b/tests/lump_answer_test.cpp
@@ -79,9 +79,9 @@
 }
 
 // Has the settings of a process read again and again, with `cancel` switched each time.
-class Pulse {
+class RepeatedReloads {
  public:
-  explicit Pulse(const Process& process) {
+  explicit RepeatedReloads(const Process& process) {
     thread_ = std::thread([this, &process] {
       for (bool may_cancel = false; !is_over_; may_cancel = !may_cancel) {
         process.reload(may_cancel);
@@ -89,7 +89,7 @@
       }
     });
   }
-  ~Pulse() {
+  ~RepeatedReloads() {
     is_over_ = true;
     thread_.join();
   }
@@ -201,7 +201,7 @@
   const bool may_cancel = GENERATE(true, false);
   const Process process(std::vector<Server::Handler>(2, writes(kLumps[2], Form::chunked)), {may_cancel});
   std::vector<Asked> asked = ask_all(process.address(), kLumps[2].bytes, "reloads");
-  Pulse reloads(process);
+  const RepeatedReloads reloads(process);
   check_whole(asked, body_of(kLumps[2].bytes));
 }
 
@@ -212,7 +212,7 @@
   INFO(name_of(form));
   Process process(std::vector<Server::Handler>(2, writes(kLumps[0], form)), {true, 2000, kLongestLimit});
   std::vector<Asked> asked = ask_all(process.address(), kLumps[0].bytes, "stop", {690});
-  std::this_thread::sleep_for(milliseconds(200));  // they are under way
+  while (process.calls() < static_cast<int>(asked.size())) std::this_thread::yield();  // they are under way
   ::kill(process.id(), SIGTERM);
   check_whole(asked, body_of(kLumps[0].bytes));
 }
--- a/tests/node_process.h
+++ b/tests/node_process.h
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 #include "stand_in.h"
 
@@ -31,6 +32,10 @@
   explicit Process(const std::vector<std::string>& backends, const Terms& terms = {}) { start(backends, terms); }
   const std::string& address() const { return address_; }
   pid_t id() const { return program_->id(); }
+  // Requests that its own backends have taken.
+  int calls() const {
+    return std::accumulate(backends_.begin(), backends_.end(), 0, [](int sum, const auto& backend) { return sum + backend->calls(); });
+  }
   void reload(bool may_cancel) const {
     auto json = json_;
     json["settings"]["bounds"]["cancel"] = may_cancel;
@@ -58,17 +63,7 @@
     if (!terms.faults.empty())
       variables = {std::string("LD_PRELOAD=") + TROUTSTAGE_FAULT_SHIM, "TROUTSTAGE_FAULTS=" + terms.faults, "ASAN_OPTIONS=verify_asan_link_order=0"};
     program_ = std::make_unique<Program>(file_, variables);
-    for (const TimePoint limit = soon(10000);;) {
-      const Fd fd = new_socket();
-      Reader in(fd.get());
-      Response r;
-      if (connect_to(fd.get(), parse_address(address_), soon(300)) == IoResult::done &&
-          write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == IoResult::done &&
-          read_response(in, soon(300), r) == ReadResult::whole && r.status == 200)
-        return;
-      REQUIRE(TimePoint::clock::now() < limit);
-      std::this_thread::sleep_for(milliseconds(5));
-    }
+    REQUIRE(becomes_ready(address_));
   }
 
   nlohmann::json json_;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -447,6 +447,21 @@
   Reader in_;
 };
 
+// Whether a process says that it is ready.
+inline bool is_ready(const std::string& address) {
+  const Fd fd = new_socket();
+  Reader in(fd.get());
+  Response r;
+  return connect_to(fd.get(), parse_address(address), soon(300)) == IoResult::done &&
+         write_all(fd.get(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n", soon(300)) == IoResult::done &&
+         read_response(in, soon(300), r) == ReadResult::whole && r.status == 200;
+}
+inline bool becomes_ready(const std::string& address) {
+  for (const TimePoint limit = soon(10000); TimePoint::clock::now() < limit; std::this_thread::sleep_for(milliseconds(5)))
+    if (is_ready(address)) return true;
+  return false;
+}
+
 inline std::string request(const std::string& workload, const std::string& body = "x", int remaining = 2000) {
   static std::atomic<int> sent{0};
   const bool reads = workload == "view";
