A stopping node passes on no answer of which it can keep no more, unless it is likely to end in time

What callers saw: a 200 that the node's end cut, where the answer was longer than the megabyte that is kept of one, or found no memory; the new test failed in both framings before.

Cause: what a stop allows was asked where the decision is made, and not where the buffer is full: two places, one rule.

Why it works: AnswerDelivery says in both cases whether the end of the node leaves time for the rest.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -221,6 +221,7 @@
 // client can't be replaced by another one. Returns `whole` when forwarding may begin.
 ReadResult Exchange::read_answer_body(TimePoint deadline, const SendConditions& conditions) {
   using Decision = policy::AnswerDelivery::Decision;
+  const auto ends_by = [&conditions] { return conditions.ends_by ? conditions.ends_by() : TimePoint::max(); };
   TimePoint now = TimePoint::clock::now();
   answer_record_.head_at = now;
   delivery_.emplace(now, deadline, known_length(remaining_body_));
@@ -228,7 +229,8 @@
   if (conditions.answer_progressed) conditions.answer_progressed(delivery_->expected_within(now));
   while (!remaining_body_.whole()) {
     std::string* const into = kept_body_.room();
-    if (into == nullptr) break;
+    if (into == nullptr && delivery_->may_forward_full(now, ends_by())) break;
+    if (into == nullptr) return ReadResult::late;
     const std::size_t size_before = into->size();
     const TimePoint read_by = std::min(delivery_->next_decision_at(now), now + kSilenceCheckInterval);
     const ReadResult result = remaining_body_.next(*reader_, read_by, *into);
@@ -253,8 +255,7 @@
       return result;
     }
     if (remaining_body_.whole()) break;
-    const Decision decision =
-        delivery_->at(now, conditions.ends_by ? conditions.ends_by() : TimePoint::max());
+    const Decision decision = delivery_->at(now, ends_by());
     if (decision == Decision::forward) break;
     if (decision == Decision::give_up) return ReadResult::late;
   }
--- a/src/policy/answer_delivery.cpp
+++ b/src/policy/answer_delivery.cpp
@@ -34,8 +34,7 @@
   const Decision otherwise = now >= deadline_ ? Decision::give_up : Decision::buffer;
   if (is_known_short()) return otherwise;
   if (now < forward_from(now)) return Decision::buffer;
-  const bool may_forward = ends_by == TimePoint::max() || is_likely_complete_by(ends_by, now);
-  return may_forward ? Decision::forward : otherwise;
+  return can_complete_before(ends_by, now) ? Decision::forward : otherwise;
 }
 
 AnswerDelivery::TimePoint AnswerDelivery::next_decision_at(TimePoint now) const {
--- a/src/policy/answer_delivery.h
+++ b/src/policy/answer_delivery.h
@@ -73,6 +73,8 @@
 
   // What to do with the answer at `now`. `ends_by`: when this node ends; max(): not known.
   Decision at(TimePoint now, TimePoint ends_by = TimePoint::max()) const;
+  // Whether an answer of which no more can be buffered may be forwarded at `now`; else it has to be given up.
+  bool may_forward_full(TimePoint now, TimePoint ends_by) const { return can_complete_before(ends_by, now); }
   // The earliest time after `now` at which the decision can change without another piece.
   TimePoint next_decision_at(TimePoint now) const;
 
@@ -85,6 +87,10 @@
  private:
   // From when on the answer is forwarded, as far as is known at `now`.
   TimePoint forward_from(TimePoint now) const;
+  // Whether the end of this node, if any, leaves time for the rest.
+  bool can_complete_before(TimePoint ends_by, TimePoint now) const {
+    return ends_by == TimePoint::max() || is_likely_complete_by(ends_by, now);
+  }
   // Whether the rest is likely to arrive by `limit`. Without a length it is taken to need as long as the part
   // that has arrived.
   bool is_likely_complete_by(TimePoint limit, TimePoint now) const;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -626,6 +626,9 @@
     CHECK(answer.at(at(590), at(1300)) == Decision::forward);
     CHECK(answer.at(at(590), at(1100)) == Decision::buffer);
     CHECK(answer.at(at(600), at(1100)) == Decision::give_up);
+    CHECK(answer.may_forward_full(at(590), at(1300)));
+    CHECK(answer.may_forward_full(at(590), AnswerDelivery::TimePoint::max()));
+    CHECK_FALSE(answer.may_forward_full(at(590), at(1100)));
     CHECK(answer.next_decision_at(at(590)) == at(600));
   }
   SECTION("each moment at which the decision may change is told before") {
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -592,6 +592,32 @@
   CHECK(node.program().exit_code(kKill) == 0);
 }
 
+// Guards against the same where the answer is longer than what is kept of one.
+TEST_CASE("a stopping node passes on no part of an answer of many MB that can't be whole before its end", "[faults]") {
+  const std::string framing = GENERATE(as<std::string>(), "Content-Length: 30000000\r\n", "");
+  constexpr int kSentMs = 900, kBegunMs = 1200;  // after SIGTERM; the last answers are due at 1300
+  INFO(framing);
+  std::atomic<TimePoint> told{TimePoint::max()};
+  FaultyNode node("", [&](const Server::Call& call) {
+    std::this_thread::sleep_until(told.load() + milliseconds(kBegunMs));
+    write_all(call.fd, "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + std::string(600000, 'x'), soon(500));
+    std::this_thread::sleep_for(milliseconds(60));  // so its mean pace is known, and less time is left than that
+    write_all(call.fd, std::string(800000, 'x'), soon(500));
+    return no_news(call);
+  });
+  REQUIRE(node.comes_up());
+  Visitor visitor(node.address());
+  REQUIRE(visitor.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status == 200);
+  node.program().signal(SIGTERM);
+  told = TimePoint::clock::now();
+  std::this_thread::sleep_until(told.load() + milliseconds(kSentMs));  // the last moments before the answers are due are the fault
+  visitor.send(request("order", "x", kTimeLimit));
+  Response r;
+  CHECK(visitor.receive(r, kMaxBodyBytes) == ReadResult::whole);
+  CHECK(r.status != 200);
+  CHECK(node.program().exit_code(kKill) == 0);
+}
+
 // Guards against an answer that is passed on while it still comes and then stops: a 200 without an end.
 TEST_CASE("a long answer that comes steadily and stops before its request's limit begins in its time, and ends so that its client can tell", "[faults]") {
   const int limit = GENERATE(700, 1000, 1500);
