A process that was held up reads what has come before it gives an answer up

What callers saw: 502 or 503 for a long answer whose head lay in the node's socket, where the process stood still over the early look 0.1 s before the limit.

Cause: after the hold the decisions' timer runs before the threads that read the backends' connections, and gave the answer up as not likely.

A timer that runs more than 20 ms late tells of a hold. The first such timer of an invocation waits 20 ms more, in which the threads read; never past a stop's last answers.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -102,6 +102,9 @@
 constexpr TenthsOfMs kAllowanceDivisor = 4;
 // The node may be held up for this long between reading its clock and writing.
 constexpr TenthsOfMs kMaxStall = 1500;
+// A timer that is later than this shows that the process was held up. Answers may have come meanwhile, which
+// its threads read within the second time.
+constexpr TenthsOfMs kMaxTimerDelay = 200, kCatchUpTime = 200;
 constexpr int kMaxDraws = 12;  // random draws before all candidates are checked in turn
 
 // Successes and failures of hand-offs in the last 8 seconds.
@@ -177,15 +180,16 @@
   bool is_queued = false;   // has no hand-off in flight and waits in queue_
   bool may_cancel = false;  // as set at its arrival: whoever runs its hand-offs relies on it
   Index workload = 0;
-  TenthsOfMs arrived = 0, valid_until = 0;
+  TenthsOfMs arrived = 0, accepted_at = 0, valid_until = 0;
   double work = 0;
   int hand_offs_in_flight = 0;
   int probe_rounds = 0, max_hand_offs = 1;  // pairs probed so far; most hand-offs, as set at its arrival
   std::array<Index, 2> probed_pair{kNone, kNone};  // backends whose probes the invocation waits for
   TenthsOfMs probe_until = 0;                      // end of the wait for probes; 0: does not wait
   TenthsOfMs hedge_at = 0;                         // when a hedged request may be sent; 0: never
-  TenthsOfMs abandon_check_at = 0;                 // when abandon_if_unlikely() runs; 0: never
-  std::uint32_t generation = 0;                    // distinguishes uses of the same index, for timers
+  TenthsOfMs catch_up_until = 0;    // after the process was held up: no decision before; 0: was not needed
+  TenthsOfMs abandon_check_at = 0;  // when abandon_if_unlikely() runs; 0: never
+  std::uint32_t generation = 0;     // distinguishes uses of the same index, for timers
   std::vector<HandOff> hand_offs;
 };
 
@@ -313,6 +317,7 @@
     invocation.is_index_used = invocation.is_open = true;
     invocation.workload = arrival.workload;
     invocation.arrived = std::min(arrival.arrived, now_);
+    invocation.accepted_at = now_;
     invocation.valid_until = std::min(arrival.valid_until, answer_by_);
     invocation.is_client_retry = arrival.is_client_retry;
     invocation.max_hand_offs = max_hand_offs_;
@@ -664,6 +669,22 @@
     if (will_be_answered) schedule_check(wait_until, index);
     else give_final_answer(index);
   }
+  // Whether the process was held up over the end of the wait for an answer, which a timer due at `due_at`
+  // tells, so that one may lie unread.
+  bool may_catch_up(Index index, TenthsOfMs due_at) const {
+    const Invocation& invocation = invocations_[index];
+    const bool is_wait_over = now_ + answer_margin_ >= invocation.valid_until ||
+                              (invocation.abandon_check_at > 0 && invocation.abandon_check_at <= now_);
+    const bool was_held_up = due_at >= invocation.accepted_at && now_ - due_at > kMaxTimerDelay;
+    return is_wait_over && was_held_up && invocation.catch_up_until == 0 &&
+           invocation.hand_offs_in_flight > 0 && now_ + kCatchUpTime < answer_by_ - answer_margin_;
+  }
+  void schedule_catch_up(Index index) {
+    Invocation& invocation = invocations_[index];
+    invocation.catch_up_until = now_ + kCatchUpTime;
+    if (invocation.abandon_check_at > 0) invocation.abandon_check_at = invocation.catch_up_until;
+    schedule_check(invocation.catch_up_until, index);
+  }
   void abandon_if_unlikely(Index index) {
     Invocation& invocation = invocations_[index];
     invocation.abandon_check_at = 0;
@@ -1280,6 +1301,8 @@
       } else if (!is_stale(timer)) {
         const Invocation& invocation = invocations_[timer.invocation];
         if (invocation.is_queued) give_final_answer(timer.invocation);
+        else if (now_ < invocation.catch_up_until) continue;
+        else if (may_catch_up(timer.invocation, timer.due_at)) schedule_catch_up(timer.invocation);
         else if (now_ + answer_margin_ >= invocation.valid_until) give_up_at_limit(timer.invocation);
         else if (invocation.abandon_check_at > 0 && invocation.abandon_check_at <= now_)
           abandon_if_unlikely(timer.invocation);
--- a/src/policy/answer_delivery.h
+++ b/src/policy/answer_delivery.h
@@ -7,16 +7,14 @@
 // - An answer known to be short (kMaxShortAnswerBytes) has to be complete by the deadline. It is never
 //   forwarded in part, and is given up at the deadline.
 // - Of a longer answer, or one of unknown length, only the first bytes are due by the deadline. It is
-// forwarded
-//   shortly before the deadline, or once it has been buffered for kMaxBufferingTime. A pause does not change
-//   this: while an answer pauses, nothing tells whether its backend will go on, and giving up an answer that
-//   goes on loses the invocation, while the client of one that does not can tell that it is incomplete.
+//   forwarded shortly before the deadline, or once it has been buffered for kMaxBufferingTime. A pause does
+//   not change this: while an answer pauses, nothing tells whether its backend will go on, and giving up an
+//   answer that goes on loses the invocation, while the client of one that does not can tell that it is
+//   incomplete.
 // - If this node ends before the rest can have arrived, only an answer that is likely to be complete by then
-// is
-//   forwarded.
+//   is forwarded.
 // - A forwarded answer is waited for until the deadline of the client, and after that while its backend
-// neither
-//   is silent for kMaxSilence nor, over the whole answer, sends more slowly than kMinBytesPerMs.
+//   neither is silent for kMaxSilence nor, over the whole answer, sends more slowly than kMinBytesPerMs.
 //
 // Usage: call add_received() for each piece, and at() after each piece and when next_decision_at() is
 // reached; after Decision::forward call wait_until() for each further wait. The class does no I/O, reads no
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -802,6 +802,30 @@
       CHECK(f.balancer.is_answered(ticket));
     }
   }
+  SECTION("a process that was held up reads what has come before it gives up, and no more than once") {
+    Facade f(Semantics::idempotent, 3, kAllowance * kMs);
+    const bool at_limit = GENERATE(true, false);
+    const InvocationHandle ticket = f.accept(kLimit);
+    const Instruction step = f.balancer.next_instruction(ticket);
+    if (at_limit) f.balancer.answer_progressed(ticket, step.number, kLimit * kMs);
+    const int held_up_at = (at_limit ? kLimit : kLimit - kAllowance) - 20;
+    f.pass(held_up_at);
+    f.clock.time += 100 * kMs;
+    f.balancer.tick();
+    CHECK_FALSE(f.balancer.is_answered(ticket));
+    f.pass(19);
+    CHECK_FALSE(f.balancer.is_answered(ticket));
+    SECTION("its answer has begun") {
+      f.balancer.answer_begun(ticket, step.number);
+      f.pass(5);
+      CHECK_FALSE(f.balancer.is_answered(ticket));
+    }
+    SECTION("nothing has come") {
+      f.clock.time += 50 * kMs;
+      f.balancer.tick();
+      CHECK(f.balancer.is_answered(ticket));
+    }
+  }
   SECTION("a stop soon after its limit leaves its thread no longer than that") {
     Facade f(Semantics::idempotent, 3, kAllowance * kMs);
     const InvocationHandle ticket = f.accept(kLimit);
--- a/tests/lump_answer_test.cpp
+++ b/tests/lump_answer_test.cpp
@@ -235,3 +235,31 @@
   // A third of them would be its share; the posterior tries it now and then.
   CHECK(std::accumulate(broken.begin() + kRounds / 2, broken.end(), 0) <= kRounds / 2 * kEach / 6);
 }
+
+// Guards against an answer that has come in time and is given up before the process, which stood still, has read it.
+TEST_CASE("a long answer that begins in its time reaches its client whole though the process stands still then", "[answers]") {
+  constexpr int kLimit = 600, kHoldUpMs = 140;
+  constexpr int kHeldFromMs = 400;  // over the early look 0.1 s before the limit
+  const Lumps lumps{"held up", 130653, {{0, 0.5}, {500, 0.5}}};
+  std::atomic<TimePoint> writes_at{TimePoint::max()};
+  const Server::Handler handler = [&](const Server::Call& call) {
+    return waits_until(call, writes_at.load() - milliseconds(kHeadMs)) ? writes(lumps, Form::length)(call) : std::string();
+  };
+  const Process process(std::vector<Server::Handler>(2, handler), Terms{});
+  const TimePoint sent = TimePoint::clock::now();
+  writes_at = sent + milliseconds(kHeldFromMs + 40);
+  std::vector<Asked> asked;
+  for (int i = 0; i < 4; ++i)
+    for (Asked& one : ask_all(process.address(), lumps.bytes, "held up", {kLimit})) asked.push_back(std::move(one));
+  std::this_thread::sleep_until(sent + milliseconds(kHeldFromMs));  // where the process stands still is the fault
+  ::kill(process.id(), SIGSTOP);
+  std::this_thread::sleep_until(sent + milliseconds(kHeldFromMs + kHoldUpMs));
+  ::kill(process.id(), SIGCONT);
+  for (Asked& one : asked) {
+    const Seen seen = one.seen.get();
+    INFO(one.what << ": " << told(seen));
+    CHECK(seen.result == ReadResult::whole);
+    CHECK(seen.response.status == 200);
+    CHECK(seen.begun <= milliseconds(kLimit + kHoldUpMs) + kSlack);
+  }
+}
