--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -24,9 +24,13 @@
 // What became of the requests of some clients.
 struct Outcomes {
   std::atomic<int> served{0}, refused{0}, failed{0}, late{0}, closed_unanswered{0}, not_connected{0}, closed_between{0};
+  // The longest that a client was connecting, and waited for an answer to a request that it had begun to write.
+  std::atomic<long> longest_connect_ms{0}, longest_answer_ms{0};
   std::string text() const {
-    return fmt::format("{} served, {} refused, {} failed, {} late, {} closed unanswered, {} not connected, {} closed between requests", served.load(),
-                       refused.load(), failed.load(), late.load(), closed_unanswered.load(), not_connected.load(), closed_between.load());
+    return fmt::format("{} served, {} refused, {} failed, {} late, {} closed unanswered, {} not connected, {} closed between requests; longest {} ms "
+                       "to connect, {} ms to the answer",
+                       served.load(), refused.load(), failed.load(), late.load(), closed_unanswered.load(), not_connected.load(),
+                       closed_between.load(), longest_connect_ms.load(), longest_answer_ms.load());
   }
   void add(ReadResult got, int status) {
     if (got == ReadResult::whole) ++(status == 200 ? served : status == 503 ? refused : failed);
@@ -316,9 +320,20 @@
   void ask_on_new() {
     const std::string message = request(workload_, "x", kLimit);
     const Fd fd = new_socket();
-    if (connect_to(fd.get(), parse_address(address_), soon(1000)) != IoResult::done) ++outcomes_.not_connected;
+    if (!connects(fd)) ++outcomes_.not_connected;
     else ask(fd, message, false);
   }
+  bool connects(const Fd& fd) {
+    const TimePoint begun = TimePoint::clock::now();
+    const bool is_connected = connect_to(fd.get(), parse_address(address_), soon(1000)) == IoResult::done;
+    note_longest(outcomes_.longest_connect_ms, begun);
+    return is_connected;
+  }
+  // Only this client's thread writes it.
+  static void note_longest(std::atomic<long>& longest_ms, TimePoint begun) {
+    const long took_ms = std::chrono::duration_cast<milliseconds>(TimePoint::clock::now() - begun).count();
+    longest_ms = std::max(longest_ms.load(), took_ms);
+  }
   // The node may close a kept connection between requests. One that was under way then is sent once more on a new
   // connection, under the id that it had: if the node had read it, a request that must not run twice fails there.
   void ask_on_kept() {
@@ -327,7 +342,7 @@
       const bool is_used = kept_ && is_reusable(kept_.get());
       if (!is_used) {
         kept_ = new_socket();
-        if (connect_to(kept_.get(), parse_address(address_), soon(1000)) != IoResult::done) {
+        if (!connects(kept_)) {
           ++outcomes_.not_connected;
           return;
         }
@@ -343,8 +358,10 @@
   Answer ask(const Fd& fd, const std::string& message, bool is_used) {
     Reader in(fd.get());
     Response r;
+    const TimePoint begun = TimePoint::clock::now();
     const bool is_written = write_all(fd.get(), message, soon(1000)) == IoResult::done;
     const ReadResult got = is_written ? read_response(in, soon(kLimit + 500), r) : ReadResult::nothing;
+    note_longest(outcomes_.longest_answer_ms, begun);
     if (is_used && (got == ReadResult::nothing || got == ReadResult::cut) && in.read_bytes() == 0) return Answer::closed_before;
     outcomes_.add(got, r.status);
     return got == ReadResult::whole && r.keep_alive ? Answer::keeps_connection : Answer::last_on_connection;
