--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -23,7 +23,7 @@
 #include <random>
 #include <utility>
 
-#include "policy/answer_odds.h"
+#include "policy/answer_probability.h"
 
 namespace troutstage {
 namespace {
--- a/src/policy/answer_odds.cpp
+++ b/src/policy/answer_probability.cpp
@@ -1,4 +1,4 @@
-#include "policy/answer_odds.h"
+#include "policy/answer_probability.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,7 +8,7 @@
 #include "core/stop_plan.h"
 #include "core/watch_pace.h"
 #include "policy/answer_delivery.h"
-#include "policy/answer_odds.h"
+#include "policy/answer_probability.h"
 
 using namespace troutstage;
 using namespace troutstage::core;
