--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -795,6 +795,21 @@
               {"over", since(TimePoint::clock::now())},
               {"ended", kExchangeResultNames[static_cast<std::size_t>(result)]}},
              log::Level::debug);
+  if (context.streamed_body) trace_streamed_body(context, number, started_at);
+}
+
+// Times are milliseconds since the hand-off began; -1: not yet.
+void ClientConnection::trace_streamed_body(const InvocationContext& context, int number,
+                                           TimePoint started_at) {
+  const StreamedBody& body = *context.streamed_body;
+  const bool is_sent = body.sent_at() != TimePoint();
+  log::event("body_times",
+             {{"transaction", std::string_view(context.request.transaction)},
+              {"number", std::int64_t{number}},
+              {"arrived", milliseconds_between(started_at, context.arrived)},
+              {"unwritten_until", milliseconds_between(started_at, body.unwritten_until())},
+              {"sent", is_sent ? milliseconds_between(started_at, body.sent_at()) : std::int64_t{-1}}},
+             log::Level::debug);
 }
 
 // Counts and logs a long answer that had begun to arrive and is not passed on, so that one that its backend
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -105,6 +105,7 @@
                               bool is_partial = false);
   static void trace_hand_off(const InvocationContext& context, int number, const Target& target,
                              TimePoint started_at, const Exchange& exchange, ExchangeResult result);
+  static void trace_streamed_body(const InvocationContext& context, int number, TimePoint started_at);
   static void note_dropped_answer(Node& node, const InvocationContext& context, int number,
                                   const Target& target, const Exchange& exchange, ExchangeResult result);
   static bool is_still_wanted(Node& node, const InvocationContext& context);
