Failing tests: long requests whose node stands still several times before their limit

The soak has long requests now (up to 3 MB, by length or in chunks), which backends read with pauses of 0 to 20 ms, or only begin to read. The operators saw large requests answered seconds late.

--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -36,6 +36,7 @@
   double begins = 0;          // the same: a long answer begins, and stops in the middle
   double endless = 0;         // the same: a long answer comes steadily and never ends
   double lumps = 0;           // the same: a long answer comes whole, in lumps over up to 1.7 s
+  double uploads = 0;         // of the requests that are not safe: a long body, which its backend reads slowly
   double leaves = 0;          // of the clients: they close before their answer
   double slow = 0;            // of the clients: they write a request in pieces, over up to 0.4 s
   int time_limit_ms = 1000;   // the longest that the settings name
@@ -57,6 +58,9 @@
   int lumps_at_stop = 0;      // those that a node which had been told to end gave up or cut
   int stopped = 0;            // answers that their backend began and stopped, begun in time and ended by the node
   int endless = 0;            // answers that their backend never ended, passed on for as long as they came
+  int uploads = 0;            // requests with a long body that were written whole and answered
+  int uploads_served = 0;     // those that were answered with 200
+  int uploads_unwritten = 0;  // those that were not written whole: answered or closed before
   int resent = 0;             // after a kept connection that was closed unread, or a new one in a crowd
   std::size_t highest_memory = 0;  // of one node, in bytes: resident, and waiting in its sockets; 0: not looked at
   int ended = 0, killed = 0;  // stops that ended by themselves, and by SIGKILL
@@ -340,7 +344,8 @@
     const std::string id(head->value("X-Txn"));
     // When it came, as this backend's system has noted: on a busy machine it is read here some time after that.
     const TimePoint came_at = TimePoint::clock::now() - time_since_last_receive(call.fd).value_or(milliseconds(0));
-    times_.attempt(id, came_at, std::stoi(std::string(head->value("X-Remaining-Ms"))));
+    // The head of a long request went on before its client had written the last byte, from which its time counts.
+    if (!head->count(kReadPauseHeader)) times_.attempt(id, came_at, std::stoi(std::string(head->value("X-Remaining-Ms"))));
     std::uint64_t drawn = 0;
     {
       std::lock_guard held(lock_);
@@ -396,10 +401,12 @@
     const int remaining = plan_.time_limit_ms / 2 +
                           static_cast<int>(random() % (static_cast<std::uint64_t>(plan_.time_limit_ms) / 2));
     const bool reads = workload == "view";
-    const std::string bytes = std::string(reads ? "GET" : "POST") + " /" + workload +
-                              "/7 HTTP/1.1\r\nHost: h\r\nX-Txn: " + id +
-                              "\r\nX-Org: a\r\nX-Remaining-Ms: " + std::to_string(remaining) + "\r\n" +
-                              (reads ? "\r\n" : "Idempotency-Key: " + id + "\r\nContent-Length: 1\r\n\r\nx");
+    const bool is_upload = !reads && plan_.uploads > 0 && chance(random) < plan_.uploads;
+    const std::string head = std::string(reads ? "GET" : "POST") + " /" + workload +
+                             "/7 HTTP/1.1\r\nHost: h\r\nX-Txn: " + id +
+                             "\r\nX-Org: a\r\nX-Remaining-Ms: " + std::to_string(remaining) + "\r\n" +
+                             (reads ? "" : "Idempotency-Key: " + id + "\r\n");
+    const std::string bytes = head + (reads ? "\r\n" : is_upload ? long_request_body(random) : "Content-Length: 1\r\n\r\nx");
     for (int tries = 0; tries < 2; ++tries) {
       const auto at = kept.find(&node);
       std::optional<Connection> connection;
@@ -412,14 +419,16 @@
         if (!connection) return;  // refused: not taken
       }
       const bool is_new = connection->answers == 0;
-      if (!write(*connection, bytes, random)) {
+      const bool is_written = is_upload ? write_all(connection->fd.get(), bytes, soon(8000)) == IoResult::done : write(*connection, bytes, random);
+      if (!is_written && is_upload) return note_unwritten_upload();
+      if (!is_written) {
         ++resent_;
         continue;
       }
       const TimePoint sent = TimePoint::clock::now();  // its time counts from its last byte
       const bool was_stopping = node.is_stopping();
       times_.sent(id, &node, remaining, workload + (is_new ? " new" : " kept"), sent);
-      if (chance(random) < plan_.leaves) return leave(std::move(*connection), id, random);
+      if (!is_upload && chance(random) < plan_.leaves) return leave(std::move(*connection), id, random);
       Response r;
       std::optional<TimePoint> begun_at;
       const ReadResult got = read_long_response(*connection, sent + milliseconds(remaining + plan_.patience_ms), id, r, begun_at);
@@ -432,6 +441,7 @@
         if (got == ReadResult::whole && r.status == 200) times_.over(id, *begun_at, "begun");
         return;
       }
+      if (got == ReadResult::whole && is_upload) note_upload(r.status);
       if (got == ReadResult::whole) return answered(node, kept, std::move(*connection), r, id);
       if (got == ReadResult::late) times_.over(id, TimePoint::clock::now(), "not answered");
       if (got == ReadResult::late && plan_.patience_ms < 500) return;  // counted as late alone: it may yet have come
@@ -522,6 +532,31 @@
     breaks_.endless += known ? 1 : 0;
     return known;
   }
+  // Headers and body of a long request, by length or in chunks, with the pauses in which a backend reads it: from none to one that
+  // is longer than any limit.
+  static std::string long_request_body(std::mt19937_64& random) {
+    static constexpr std::array<int, 5> kPausesMs = {0, 2, 5, 20, 10000};
+    constexpr std::size_t kChunkBytes = 50000;
+    const std::size_t size = 100000 + random() % 2900000;
+    std::string text = fmt::format("{}: {}\r\n", kReadPauseHeader, kPausesMs[random() % kPausesMs.size()]);
+    if (random() % 2 == 0) return text + fmt::format("Content-Length: {}\r\n\r\n", size) + std::string(size, 'x');
+    text += "Transfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t left = size; left > 0;) {
+      const std::size_t piece = std::min(left, kChunkBytes);
+      text += fmt::format("{:x}\r\n{}\r\n", piece, std::string(piece, 'x'));
+      left -= piece;
+    }
+    return text + "0\r\n\r\n";
+  }
+  void note_upload(int status) {
+    std::lock_guard held(lock_);
+    ++breaks_.uploads;
+    breaks_.uploads_served += status == 200 ? 1 : 0;
+  }
+  void note_unwritten_upload() {
+    std::lock_guard held(lock_);
+    ++breaks_.uploads_unwritten;
+  }
   static double chance(std::mt19937_64& random) { return static_cast<double>(random() % 10000) / 10000; }
   bool write(const Connection& connection, const std::string& bytes, std::mt19937_64& random) const {
     if (chance(random) >= plan_.slow) return write_all(connection.fd.get(), bytes, soon(500)) == IoResult::done;
@@ -597,7 +632,9 @@
   std::string text = std::to_string(b.answered) + " answered, " + std::to_string(b.refused) + " refused, " +
                      std::to_string(b.failed) + " failed, " + std::to_string(b.endless) + " without an end, " +
                      std::to_string(b.lumps) + " in lumps, " + std::to_string(b.lumps_at_stop) + " in lumps at a stop, " +
-                     std::to_string(b.stopped) + " stopped, " + std::to_string(b.cut.size()) + " cut, " + std::to_string(b.resent) +
+                     std::to_string(b.stopped) + " stopped, " + std::to_string(b.uploads) + " long requests, " +
+                     std::to_string(b.uploads_served) + " of them served, " +
+                     std::to_string(b.uploads_unwritten) + " not written whole, " + std::to_string(b.cut.size()) + " cut, " + std::to_string(b.resent) +
                      " sent again; stops: " + std::to_string(b.ended) + " ended, " +
                      std::to_string(b.killed) + " killed; lost " + std::to_string(b.lost.size()) +
                      ", wrong " + std::to_string(b.wrong.size()) + ", begun late " +
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -780,6 +780,7 @@
     else if (key == "begins") plan.begins = value;
     else if (key == "endless") plan.endless = value;
     else if (key == "lumps") plan.lumps = value;
+    else if (key == "uploads") plan.uploads = value;
     else if (key == "leaves") plan.leaves = value;
     else if (key == "slow") plan.slow = value;
     else if (key == "limit_ms") plan.time_limit_ms = static_cast<int>(value);
@@ -827,6 +828,13 @@
   check_soak(plan);
 }
 
+TEST_CASE("a short soak with long requests before backends that read slowly, restarts and signals in series breaks no rule", "[faults]") {
+  Plan plan = short_soak(4109);
+  plan.uploads = 0.2;
+  plan.clients = 16;
+  check_soak(plan);
+}
+
 TEST_CASE("a short soak beside clients that write and read slowly breaks no rule and stays within the least memory", "[faults]") {
   Plan plan = short_soak(4105);
   plan.slow_crowd = 200;
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -186,3 +186,42 @@
     check_answered_in_time(seen.get(), kLimit);
   }
 }
+
+// Guards against a wait that is longer by each time for which the process stood still in it.
+TEST_CASE("a long request is answered by its client's limit though its node stands still several times before that", "[bulk]") {
+  constexpr int kLimit = 700, kHoldUpMs = 100;
+  constexpr std::array<int, 3> kHeldFromMs = {60, 220, 380};  // the last one ends 0.22 s before the limit
+  const bool may_cancel = GENERATE(true, false);
+  const bool reads_all = GENERATE(true, false);  // and gives no answer; else it reads nothing
+  INFO("cancel " << may_cancel << ", reads all " << reads_all);
+  std::vector<std::unique_ptr<SlowBackend>> backends;
+  std::vector<std::unique_ptr<Process>> processes;
+  std::vector<std::string> texts;
+  std::vector<std::pair<std::string, std::future<Seen>>> all;
+  for (const char* workload : {"order", "pay"})
+    for (const bool is_chunked : {false, true})
+      for (const std::size_t bytes : {std::size_t{600'000}, std::size_t{2'000'000}}) {
+        const Terms terms{may_cancel};
+        if (!reads_all) backends.push_back(std::make_unique<SlowBackend>(Reading{"nothing", 0, 0}));
+        processes.push_back(reads_all ? std::make_unique<Process>(std::vector<Server::Handler>{no_news}, terms)
+                                      : std::make_unique<Process>(std::vector<std::string>{backends.back()->address()}, terms));
+        texts.push_back(text_of({workload, bytes, is_chunked, kLimit, 0}));
+        all.emplace_back(fmt::format("{}, chunked {}, {} bytes", workload, is_chunked, bytes), std::future<Seen>());
+      }
+  const TimePoint begun = TimePoint::clock::now();
+  for (std::size_t i = 0; i < all.size(); ++i)
+    all[i].second = std::async(std::launch::async, [address = processes[i]->address(), &text = texts[i]] { return answer_to(address, text, 0); });
+  for (const int from_ms : kHeldFromMs) {  // where the processes stand still is the fault
+    std::this_thread::sleep_until(begun + milliseconds(from_ms));
+    for (const auto& process : processes) ::kill(process->id(), SIGSTOP);
+    std::this_thread::sleep_until(begun + milliseconds(from_ms + kHoldUpMs));
+    for (const auto& process : processes) ::kill(process->id(), SIGCONT);
+  }
+  for (auto& [what, future] : all) {
+    INFO(what);
+    const Seen seen = future.get();
+    INFO(told(seen));
+    CHECK(seen.result == ReadResult::whole);
+    CHECK(seen.ended <= milliseconds(kLimit) + kSlack);
+  }
+}
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -75,6 +75,9 @@
   std::vector<T> all_;
 };
 
+// How many milliseconds a server pauses before it reads each further piece of the request's body.
+inline constexpr const char* kReadPauseHeader = "X-Read-Pause";
+
 // A server whose every request goes to a handler; the bytes that it returns are written, and the connection
 // is closed after them unless they are a whole answer that keeps it.
 class Server {
@@ -143,10 +146,20 @@
         bytes.erase(0, end + 4 + static_cast<std::size_t>(*size));
         continue;
       }
+      if (head && !pauses_before_reading(*head)) return;
       const IoResult io = read_some(fd.get(), bytes, soon(20));
       if (io == IoResult::ended || io == IoResult::broken) return;
     }
   }
+  // A request may ask for pauses between the pieces of its body. False: the server ends.
+  template <typename Head>
+  bool pauses_before_reading(const Head& head) const {
+    if (!head.count(kReadPauseHeader)) return true;
+    const TimePoint until = soon(static_cast<int>(*parse_digits(head.value(kReadPauseHeader))));
+    while (TimePoint::clock::now() < until && !stop_)
+      std::this_thread::sleep_for(std::min<TimePoint::duration>(milliseconds(5), until - TimePoint::clock::now()));
+    return !stop_;
+  }
   // Half an answer, or one that says so.
   static bool close_after(const std::string& out) {
     const std::size_t end = out.find("\r\n\r\n");
