A wait on a socket does not grow by the times for which its process was stopped

What callers saw: the final answer to a long request up to some 0.4 s after its limit, or none 0.5 s after it, at a node that had stood still several times before that (SIGSTOP, a frozen machine).

Cause: ppoll() takes a relative time. When a stopped process goes on, the kernel repeats the call with what was left of it when the stop began.

A wait is made in parts now, each at most half of what is left (20 ms at least), and looks at the clock between them. A wait that ends in the first half of its time costs no further call.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -26,20 +26,28 @@
 constexpr std::chrono::milliseconds kAddressRetryTime{1000};  // while the address is in use
 constexpr std::chrono::milliseconds kRouteRetryTime{20};      // while the network is unreachable
 constexpr std::chrono::milliseconds kWriteLimitInterval{20};  // between two calls of a WriteLimit
+constexpr std::chrono::milliseconds kMinWaitPart{20};         // of a wait for events
+
+// How long the next ppoll() of a wait may last. When the process is stopped (SIGSTOP) and continued, the
+// kernel repeats ppoll() with the time that was left when the stop began, so that each stop makes the call
+// longer. The limit is looked at again after half of the time.
+std::chrono::nanoseconds next_wait_part(TimePoint::duration remaining) {
+  return std::min<TimePoint::duration>(remaining, std::max<TimePoint::duration>(remaining / 2, kMinWaitPart));
+}
 
 // Waits until one of `events` is ready. The limit is a point in time, so that an interrupted wait keeps its
 // limit.
 IoResult wait_for_events(int fd, short events, TimePoint limit) {
   for (Backoff backoff(limit);;) {
-    const auto remaining =
-        std::chrono::duration_cast<std::chrono::nanoseconds>(limit - TimePoint::clock::now());
-    if (remaining.count() <= 0) return IoResult::late;
-    timespec wait{static_cast<time_t>(remaining.count() / 1000000000),
-                  static_cast<long>(remaining.count() % 1000000000)};
+    const TimePoint::duration remaining = limit - TimePoint::clock::now();
+    if (remaining <= TimePoint::duration::zero()) return IoResult::late;
+    const std::chrono::nanoseconds part = next_wait_part(remaining);
+    timespec wait{static_cast<time_t>(part.count() / 1000000000),
+                  static_cast<long>(part.count() % 1000000000)};
     pollfd polled{fd, events, 0};
     const int n = ::ppoll(&polled, 1, &wait, nullptr);
     if (n > 0) return IoResult::done;
-    if (n == 0) return IoResult::late;
+    if (n == 0) continue;
     switch (classify_errno(errno)) {
       case ErrorClass::interrupted: break;
       case ErrorClass::not_ready:
