A long request of a client beyond the limit is refused at once, not read a little at a time

Cause: a client that comes when all places are taken has a receive buffer of 2,304 bytes. Its head came, no place became free, and the node read its body all the same: 2 kB at each of the system's window probes (0.2 s apart), for up to 4.9 s, in which nothing answered. Seen with ss: the client's queue full, the node's empty, rb2304, bytes_received growing by 2,088.

A client without a place is waited for as long as for its head (0.2 s); then, or where its body would have to be streamed, it is told 503.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -221,18 +221,23 @@
     if (!is_node_path(r) && !resolve_workload(*context, refusal)) return refuse(refusal);
     // Clients have to send a body at kMinBytesPerMs or faster. Reading stops when a piece takes too long, or
     // when the body as a whole, after kMaxBodyTime, arrives at less than half of that rate.
+    // A client beyond the limit has the smallest buffers, through which a long body takes seconds, and is not
+    // waited for.
     const auto deadline = [&] {
+      if (!is_within_budget_) return head_deadline();
       const auto earned_time =
           std::chrono::milliseconds(static_cast<std::int64_t>(r.body.size()) * 2 / kMinBytesPerMs);
       return std::min(TimePoint::clock::now() + kBodyPieceTimeout, started_at + kMaxBodyTime + earned_time);
     };
     if (!read_body(reader_, r, refusal, deadline,
                    [&](std::size_t size) { return context->take_for_body(size); })) {
+      if (refusal.cause == RequestError::slow && !is_within_budget_) refusal = {503, RequestError::no_room};
       if (refusal.cause == RequestError::no_room && context->workload_entry.answers)
         ++context->workload_entry.answers->rejected;
       return refuse(attribute_cut(active_read, refusal));
     }
     context->has_streaming_body = !r.remaining_body.whole();
+    if (context->has_streaming_body && !is_within_budget_) return refuse({503, RequestError::no_room});
     note_times(*context);
     if (context->read_at - context->arrived >= kLateReadThreshold) note_late_reading(*context);
     // If this node shut down the reading side itself, to free capacity, the socket looks as if the client had
--- a/tests/fault_fleet.h
+++ b/tests/fault_fleet.h
@@ -447,7 +447,8 @@
       if (got == ReadResult::late && plan_.patience_ms < 500) return;  // counted as late alone: it may yet have come
       const auto after = std::chrono::duration_cast<milliseconds>(TimePoint::clock::now() - sent).count();
       const std::string story = id + " " + workload + " " + std::to_string(remaining) + " ms, " +
-                                (is_new ? "new" : "kept") + " connection, " +
+                                (is_new ? "new" : "kept") + " connection from port " + std::to_string(port_of(connection->fd.get())) + ", " + std::to_string(bytes.size()) + " bytes" +
+                                (bytes.find("chunked") == bytes.npos ? ", " : " in chunks, ") +
                                 (got == ReadResult::late ? "no answer" : "ended unanswered") + " after " +
                                 std::to_string(after) + " ms" + since_told(node);
       std::lock_guard held(lock_);
--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -829,8 +829,8 @@
 }
 
 TEST_CASE("a short soak with long requests before backends that read slowly, restarts and signals in series breaks no rule", "[faults]") {
-  Plan plan = short_soak(4109);
-  plan.uploads = 0.2;
+  Plan plan = short_soak(GENERATE(as<std::uint64_t>(), 4109, 4110));
+  plan.uploads = 0.3;
   plan.clients = 16;
   check_soak(plan);
 }
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -225,3 +225,61 @@
     CHECK(seen.ended <= milliseconds(kLimit) + kSlack);
   }
 }
+
+namespace {
+
+// Idle connections to an address, opened again when they are closed, until the object ends.
+class SilentCrowd {
+ public:
+  SilentCrowd(std::string address, std::size_t size) : address_(std::move(address)), size_(size), thread_([this] { play(); }) {}
+  ~SilentCrowd() {
+    is_over_ = true;
+    thread_.join();
+  }
+
+ private:
+  void play() {
+    std::vector<Fd> idle;
+    for (; !is_over_; std::this_thread::sleep_for(milliseconds(5))) {
+      std::erase_if(idle, [](const Fd& fd) { return !is_reusable(fd.get()); });
+      while (!is_over_ && idle.size() < size_) {
+        Fd fd = new_socket();
+        if (connect_to(fd.get(), parse_address(address_), soon(20)) != IoResult::done) break;
+        idle.push_back(std::move(fd));
+      }
+    }
+  }
+  const std::string address_;
+  const std::size_t size_;
+  std::atomic<bool> is_over_{false};
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Guards against a long request that is read through the smallest buffers for seconds, since its client came when all places were taken.
+TEST_CASE("long requests of new clients beside a crowd of silent ones are answered in their time", "[bulk]") {
+  constexpr int kLimit = 500, kClients = 12;
+  const bool is_chunked = GENERATE(false, true);
+  const Process process(std::vector<Server::Handler>(2, always(ok("done"))));
+  const SilentCrowd crowd(process.address(), 200);
+  const TimePoint end = soon(3000);
+  std::atomic<int> in_time{0}, late{0}, unwritten{0};
+  std::atomic<long> longest_ms{0};
+  std::vector<std::future<void>> clients;
+  for (int c = 0; c < kClients; ++c)
+    clients.push_back(std::async(std::launch::async, [&, c] {
+      for (int turn = 0; TimePoint::clock::now() < end; ++turn) {
+        const std::size_t bytes = 100'000 + static_cast<std::size_t>(c * 7919 + turn * 104729) % 500'000;
+        const Seen seen = answer_to(process.address(), text_of({"order", bytes, is_chunked, kLimit, 0}), 0);
+        const bool is_written = seen.ended >= milliseconds(0);
+        const bool is_in_time = seen.result == ReadResult::whole && seen.ended <= milliseconds(kLimit) + kSlack;
+        longest_ms = std::max(longest_ms.load(), static_cast<long>(seen.ended.count()));
+        ++(!is_written ? unwritten : is_in_time ? in_time : late);
+      }
+    }));
+  for (auto& client : clients) client.get();
+  INFO("chunked " << is_chunked << ": " << in_time << " in time, " << late << " late, " << unwritten << " not written, the longest after some " << longest_ms << " ms");
+  CHECK(late == 0);
+  CHECK(in_time > unwritten);
+}
